--- a/src/main/kotlin/org/chalkhollow/Main.kt
+++ b/src/main/kotlin/org/chalkhollow/Main.kt
@@ -3,7 +3,7 @@
 import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.versionOption
@@ -21,6 +21,7 @@
 import org.chalkhollow.settings.PlatformSettings
 import java.nio.file.Path
 import java.util.concurrent.Executors
+import kotlin.system.exitProcess
 
 /** The command line. */
 class Chalkhollow : CoreCliktCommand(name = "chalkhollow") {
@@ -87,5 +88,12 @@
 
 fun main(args: Array<String>) {
     setUpLogging()
-    Chalkhollow().main(args)
+    val command = Chalkhollow()
+    try {
+        command.parse(args)
+    } catch (e: CliktError) {
+        val text = command.getFormattedHelp(e)
+        if (text != null) (if (e.printError) System.err else System.out).println(text)
+        exitProcess(e.statusCode)
+    }
 }
