--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/CloudStand.kt
@@ -0,0 +1,96 @@
+package org.chalkhollow.rehearsal
+
+import org.chalkhollow.core.CloudOp
+import org.chalkhollow.core.CloudReply
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.wire.ListedMachine
+import org.chalkhollow.wire.ListedPage
+
+/** A stand-in for the cloud: rents stand-in workers, lists them late, takes spot machines back. */
+class CloudStand(
+    private val world: World,
+    private val network: Network,
+    private val types: List<MachineType>,
+    private val capacity: Int,
+    private val makeWorker: (String, MachineType, String, Boolean) -> WorkerStand,
+) {
+    private class Rented(val worker: WorkerStand, val at: Long, val upAt: Long, var failed: Boolean = false)
+
+    private val machines = sortedMapOf<String, Rented>()
+    private val bookings = HashMap<String, Pair<CloudOp.Rent, List<String>>>()
+    private var next = 1
+    val workers: List<WorkerStand> get() = machines.values.map { it.worker }
+
+    fun call(node: String, op: CloudOp, reply: (CloudReply) -> Unit) {
+        var answered = false
+        fun answer(r: CloudReply) {
+            if (!answered) {
+                answered = true
+                reply(r)
+            }
+        }
+        world.after(TIMEOUT_MS) { answer(CloudReply.NoResponse) }
+        network.send(node, NAME) {
+            val result = execute(op)
+            network.send(NAME, node) { answer(result) }
+        }
+    }
+
+    private fun execute(op: CloudOp): CloudReply = when (op) {
+        CloudOp.Catalog -> CloudReply.CatalogIs(types)
+        is CloudOp.Machines -> CloudReply.MachinesAre(list())
+        is CloudOp.Rent -> rent(op)
+        is CloudOp.Delete -> {
+            op.names.forEach { machines.remove(it)?.worker?.gone() }
+            CloudReply.Deleted
+        }
+    }
+
+    private fun rent(op: CloudOp.Rent): CloudReply {
+        bookings[op.request]?.let { (before, names) ->
+            check(before == op) { "request name ${op.request} was used again for something else" }
+            return CloudReply.Rented(names)
+        }
+        val n = minOf(op.count, capacity - machines.size)
+        if (n <= 0) return CloudReply.NoCapacity
+        val names = List(n) { add(types.first { it.name == op.type }, op.zone, op.spot, world.between(3000, 9000)) }
+        bookings[op.request] = op to names
+        return CloudReply.Rented(names)
+    }
+
+    /** Adds a machine that comes up after [bootMs]; one in thirty never does. */
+    fun add(type: MachineType, zone: String, spot: Boolean, bootMs: Long): String {
+        val name = "n-" + (next++).toString().padStart(6, '0')
+        val worker = makeWorker(name, type, zone, spot)
+        val never = bootMs > 0 && world.chance(0.03)
+        val upAt = if (never) Long.MAX_VALUE else world.time + bootMs
+        machines[name] = Rented(worker, world.time, upAt)
+        if (!never) world.after(bootMs) { if (machines.containsKey(name)) worker.boot() }
+        return name
+    }
+
+    private fun list(): ListedPage = ListedPage(
+        machines.entries.filter { world.time - it.value.at > LAG_MS }.map { (name, r) ->
+            val status = when {
+                r.failed -> ListedMachine.Status.FAILED
+                world.time >= r.upAt -> ListedMachine.Status.RUNNING
+                else -> ListedMachine.Status.STARTING
+            }
+            ListedMachine(name, name, r.worker.type.name, r.worker.zone, r.worker.spot, status, (world.time - r.at) / 1000.0)
+        },
+        false,
+    )
+
+    /** A machine dies: it stays in the list, for a while as running. */
+    fun kill(name: String) {
+        val r = machines[name] ?: return
+        r.worker.gone()
+        world.after(8000) { r.failed = true }
+    }
+
+    companion object {
+        const val NAME = "cloud"
+        private const val TIMEOUT_MS = 4000L
+        private const val LAG_MS = 3000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/NodeStand.kt
@@ -0,0 +1,83 @@
+package org.chalkhollow.rehearsal
+
+import org.chalkhollow.core.Controller
+import org.chalkhollow.core.Effect
+import org.chalkhollow.core.Input
+import org.chalkhollow.core.Now
+import org.chalkhollow.core.UserAsk
+import org.chalkhollow.mesh.Frames
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.PlatformSettings
+import org.chalkhollow.wire.WorkerReport
+
+/** One controller process: the real state machine, with a clock of its own, that can be killed and started again. */
+class NodeStand(private val rehearsal: Rehearsal, val label: String, private val settings: PlatformSettings, private val options: OperatorSettings) {
+    private val world = rehearsal.world
+    private val drift = 1.0 + world.random.nextDouble() * 0.0005
+    private val offset = world.between(0, 1_000_000)
+    private val skew = world.between(-25, 25)
+    private var controller: Controller? = null
+    private var life = 0
+    private val calls = HashMap<Int, (Effect.Answer) -> Unit>()
+    private var nextCall = 0
+    private var timers = 0
+
+    val alive: Boolean get() = controller != null
+    val leads: Boolean get() = controller?.view?.leading == true
+
+    private fun now() = Now(offset + (world.time * drift).toLong(), 1_700_000_000_000 + world.time + skew)
+
+    fun start() {
+        if (alive) return
+        life++
+        controller = Controller(settings, options, world.random.nextLong(1, Long.MAX_VALUE), now())
+        feed(Input.Tick)
+    }
+
+    fun crash() {
+        controller = null
+        life++
+        calls.clear()
+    }
+
+    fun peer(from: Int, frame: ByteArray) {
+        val message = checkNotNull(Frames.decode(frame)) { "a frame that cannot be read" }
+        feed(Input.Peer(from, message))
+    }
+
+    fun report(report: WorkerReport, answer: (Effect.Answer) -> Unit): Boolean = call(answer) { Input.Report(it, report) }
+
+    fun user(ask: UserAsk, answer: (Effect.Answer) -> Unit): Boolean = call(answer) { Input.User(it, ask) }
+
+    private fun call(answer: (Effect.Answer) -> Unit, input: (Int) -> Input): Boolean {
+        if (!alive) return false
+        val id = nextCall++
+        calls[id] = answer
+        feed(input(id))
+        return true
+    }
+
+    private fun feed(input: Input) {
+        val effects = controller?.step(now(), input) ?: return
+        val inLife = life
+        fun back(make: () -> Input) {
+            if (life == inLife) feed(make())
+        }
+        for (e in effects) when (e) {
+            is Effect.Answer -> calls.remove(e.call)?.invoke(e)
+            is Effect.State -> rehearsal.state.call(label, e.op) { r -> back { Input.State(e.ticket, r) } }
+            is Effect.Cloud -> rehearsal.cloud.call(label, e.op) { r -> back { Input.Cloud(e.ticket, r) } }
+            is Effect.Direct -> rehearsal.direct(label, e) { r -> back { Input.Direct(e.ticket, r) } }
+            is Effect.Send -> {
+                val to = rehearsal.peerOf(label, e.peer)
+                val frame = Frames.encode(e.message)
+                rehearsal.network.send(label, to.label) { to.peer(rehearsal.indexAt(to.label, label), frame) }
+            }
+            is Effect.Timer -> {
+                val timer = ++timers
+                world.after(e.at - now().steady + world.between(0, 3)) { if (timer == timers) back { Input.Tick } }
+            }
+            is Effect.Note -> if (rehearsal.verbose) println("${world.time} $label ${e.text}")
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
@@ -0,0 +1,76 @@
+package org.chalkhollow.rehearsal
+
+import org.chalkhollow.core.DirectReply
+import org.chalkhollow.core.Effect
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Team
+import org.chalkhollow.settings.Address
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.Peer
+import org.chalkhollow.settings.PlatformSettings
+import org.chalkhollow.settings.StateLimits
+
+/** Controllers, stand-ins and rules in one world; [Troubles] makes its days hard. */
+class Rehearsal(
+    seed: Long,
+    val options: OperatorSettings = OperatorSettings(idleReturnS = 20.0),
+    /** The workers' true lease, and what the controllers are told; they differ only in tests of the checks. */
+    private val leaseMs: Long = 8000,
+    toldLeaseS: Double = 8.0,
+    /** How much more than the teams' true limits the controllers are told; 1 except in tests of the checks. */
+    toldLimitFactor: Double = 1.0,
+    val verbose: Boolean = false,
+) {
+    val world = World(seed)
+    val network = Network(world)
+    val zones = listOf("east", "west")
+    val limits = listOf(Team("red", 16.0, 40.0, 0.0, 0.0), Team("blue", 16.0, 40.0, 0.0, 0.0))
+    val cancelMs = 25_000L
+    val types = listOf(
+        MachineType("small", Resources(8.0, 0.0, 64.0), 1.0, 20.0, 0.5, 0.2, 5.0, zones),
+        MachineType("large", Resources(16.0, 0.0, 64.0), 1.0, 20.0, 1.2, 0.5, 6.0, zones),
+    )
+    private val labels = listOf("a", "b", "c")
+    val settings = settingsOf("a", toldLeaseS, toldLimitFactor)
+    val state = StateStand(world, network, settings.stateLimits)
+    val cloud = CloudStand(world, network, types, 14) { name, type, zone, spot -> WorkerStand(this, name, type, zone, spot, leaseMs) }
+    val nodes = labels.map { NodeStand(this, it, settingsOf(it, toldLeaseS, toldLimitFactor), options) }
+    val users = Users(this)
+    val rules = Rules(this)
+
+    private fun settingsOf(label: String, leaseS: Double, factor: Double) = PlatformSettings(
+        label = label, location = "east", clientListen = Address("127.0.0.1", 1), meshAddress = Address("127.0.0.1", 2),
+        peers = labels.filter { it != label }.map { Peer(it, Address("127.0.0.1", 3)) },
+        state = Address("127.0.0.1", 4), cloud = Address("127.0.0.1", 5),
+        teams = limits.map { it.copy(cpusMax = it.cpusMax * factor) }, objectives = emptyList(), reportS = 2.0, leaseS = leaseS, cancelS = 25.0,
+        stateLimits = StateLimits(80.0, 20.0, 8192, 12), cloudRps = 3.0, listLagS = 3.0, maxConnections = 100, skewMs = 25.0,
+    )
+
+    fun peerOf(label: String, index: Int): NodeStand = nodes.first { it.label == labels.filter { l -> l != label }[index] }
+
+    fun indexAt(label: String, of: String): Int = labels.filter { it != label }.indexOf(of)
+
+    fun direct(node: String, e: Effect.Direct, reply: (DirectReply) -> Unit) {
+        var settled = false
+        fun settle(r: DirectReply) {
+            if (!settled) {
+                settled = true
+                reply(r)
+            }
+        }
+        world.after(3000) { settle(DirectReply.NoResponse) }
+        network.send(node, e.address) {
+            cloud.workers.firstOrNull { it.name == e.address }?.direct(e) { r -> network.send(e.address, node) { settle(r) } }
+        }
+    }
+
+    /** Starts everything; [jobs] jobs arrive over [overMs]. */
+    fun begin(jobs: Int, overMs: Long) {
+        repeat(4) { cloud.add(types[0], zones[it % 2], false, 0) }
+        nodes.forEach { n -> world.after(world.between(0, 500)) { n.start() } }
+        repeat(jobs) { world.after(world.between(0, overMs)) { users.arrive() } }
+        repeat(jobs / 3) { world.after(world.between(0, overMs)) { users.askUnknown() } }
+        world.afterEach = rules::check
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Troubles.kt
@@ -0,0 +1,37 @@
+package org.chalkhollow.rehearsal
+
+/** Draws troubles of every kind that the protocol names, alone and on top of each other. */
+class Troubles(private val r: Rehearsal) {
+    private val world = r.world
+
+    fun draw(count: Int, fromMs: Long, toMs: Long) {
+        repeat(count) { world.after(world.between(fromMs, toMs)) { one() } }
+    }
+
+    private fun one() {
+        val node = r.nodes[world.random.nextInt(r.nodes.size)]
+        val worker = r.cloud.workers.filter { it.present }.let { if (it.isEmpty()) null else it[world.random.nextInt(it.size)] }
+        when (world.random.nextInt(12)) {
+            0 -> crash(node, world.between(5000, 9000))
+            1 -> crash(node, world.between(50, 500))
+            2 -> r.nodes.filter { it.leads }.forEach { crash(it, world.between(3000, 9000)) }
+            3 -> r.nodes.forEach { crash(it, world.between(3000, 9000)) }
+            4 -> r.state.outage(world.between(2000, 25_000))
+            5 -> r.state.refuse(node.label, world.between(3000, 20_000))
+            6 -> r.nodes.filter { it !== node }.forEach { r.network.cut(node.label, it.label, world.between(3000, 20_000), world.chance(0.5)) }
+            7 -> worker?.let { w -> r.nodes.forEach { r.network.cut(it.label, w.name, world.between(3000, 30_000), world.chance(0.6)) } }
+            8 -> worker?.hang(world.between(1000, 15_000))
+            9 -> worker?.let { r.cloud.kill(it.name) }
+            10 -> worker?.let { w ->
+                w.sick = true
+                world.after(20_000) { w.sick = false }
+            }
+            else -> r.network.cut(node.label, if (world.chance(0.5)) StateStand.NAME else CloudStand.NAME, world.between(2000, 15_000), world.chance(0.5))
+        }
+    }
+
+    private fun crash(node: NodeStand, backAfterMs: Long) {
+        node.crash()
+        world.after(backAfterMs) { node.start() }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
@@ -0,0 +1,234 @@
+package org.chalkhollow.rehearsal
+
+import org.chalkhollow.core.DirectReply
+import org.chalkhollow.core.Effect
+import org.chalkhollow.core.Input
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.wire.Command
+import org.chalkhollow.wire.ExitCause
+import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Pack
+import org.chalkhollow.wire.TaskReport
+import org.chalkhollow.wire.WorkerReport
+
+/** A stand-in for a worker: leases, sessions, tokens, reports to one controller at a time, direct commands. */
+class WorkerStand(
+    private val rehearsal: Rehearsal,
+    val name: String,
+    val type: MachineType,
+    val zone: String,
+    val spot: Boolean,
+    private val leaseMs: Long,
+) {
+    class Task(val job: String, val index: Int, val attempt: Long) {
+        var phase = TaskReport.Phase.FETCHING
+        var cause: ExitCause? = null
+        val name get() = "$job/$index"
+    }
+
+    private val world = rehearsal.world
+    val tasks = LinkedHashMap<String, Task>()
+    private var up = false
+    private var dead = false
+    private var hangUntil = 0L
+    private var session = 1L
+    private var seq = 0L
+    private var token = 0L
+    private var target = 0
+    private var leaseFrom = 0L
+    private var inFlight = false
+    private var lastReportAt = 0L
+    private var reportDueAt = 0L
+    private val completed = HashSet<String>()
+    var sick = false
+    var noticeAt = 0L
+
+    val present: Boolean get() = up && !dead
+
+    fun boot() {
+        up = true
+        leaseFrom = world.time
+        target = world.random.nextInt(rehearsal.nodes.size)
+        tick()
+    }
+
+    fun gone() {
+        dead = true
+        tasks.clear()
+    }
+
+    fun hang(forMs: Long) {
+        hangUntil = world.time + forMs
+    }
+
+    private val hanging get() = world.time < hangUntil
+
+    private fun tick() {
+        if (dead) return
+        world.after(100) { tick() }
+        if (hanging) return
+        expire()
+        if (!inFlight && world.time >= reportDueAt) report()
+    }
+
+    private fun expire() {
+        if (world.time - leaseFrom <= leaseMs) return
+        tasks.clear()
+        session++
+        leaseFrom = world.time
+        changed()
+    }
+
+    private fun changed() {
+        reportDueAt = minOf(reportDueAt, maxOf(world.time, lastReportAt + 500))
+    }
+
+    private fun snapshot(): WorkerReport {
+        seq++
+        val notice = if (noticeAt > 0) (noticeAt - world.time) / 1000.0 else null
+        return WorkerReport(
+            name, name, type.name, zone, spot, session, seq, token, notice,
+            tasks.values.map { TaskReport(it.job, it.index, it.attempt, it.phase, it.cause) },
+        )
+    }
+
+    private fun report() {
+        val report = snapshot()
+        val sentAt = world.time
+        lastReportAt = sentAt
+        reportDueAt = sentAt + world.between(1500, 2500)
+        inFlight = true
+        val node = rehearsal.nodes[target]
+        var settled = false
+        fun settle(run: () -> Unit) {
+            if (settled || dead) return
+            settled = true
+            inFlight = false
+            run()
+        }
+        world.after(4000) { settle(::nextNode) }
+        rehearsal.network.send(name, node.label) {
+            val heard = node.report(report) { answer ->
+                rehearsal.network.send(node.label, name) {
+                    if (!hanging) settle { answered(answer, report, sentAt) }
+                }
+            }
+            if (!heard) rehearsal.network.send(node.label, name) { settle(::nextNode) }
+        }
+    }
+
+    private fun nextNode() {
+        target = (target + 1) % rehearsal.nodes.size
+        reportDueAt = world.time + 1000
+    }
+
+    private fun answered(answer: Effect.Answer, report: WorkerReport, sentAt: Long) {
+        val body = answer.body?.let(Pack::decodeMap)
+        if (answer.status == 421) {
+            val to = rehearsal.nodes.indexOfFirst { it.label == body?.textOrNull("overseer") }
+            if (to < 0 || to == target) return nextNode()
+            target = to
+            reportDueAt = world.time
+            return
+        }
+        if (answer.status != 200 || body == null) return nextNode()
+        val given = body.longOrNull("mandate") ?: return
+        if (report.session != session || given < token) return
+        if (given > token) {
+            token = given
+            changed()
+        }
+        leaseFrom = maxOf(leaseFrom, sentAt)
+        for (order in body.maps("orders")) execute(decode(order))
+    }
+
+    private fun decode(f: Fields): Command {
+        val piece = f.text("piece")
+        val job = piece.substringBefore('/')
+        val index = piece.substringAfter('/').toInt()
+        return when (f.text("verb")) {
+            "start" -> Command.Start(job, index, f.long("try"))
+            "kill" -> Command.Stop(job, index, f.long("try"), f.number("windDownS"))
+            else -> Command.Forget(job, index, f.long("try"))
+        }
+    }
+
+    /** A direct command arrives, perhaps late. */
+    fun direct(e: Effect.Direct, reply: (DirectReply) -> Unit) {
+        if (!present) return
+        if (hanging) {
+            world.after(hangUntil - world.time + 1) { direct(e, reply) }
+            return
+        }
+        expire()
+        if (e.session != session || e.token < token) return reply(DirectReply.Refused(snapshot()))
+        token = e.token
+        e.commands.forEach(::execute)
+        reply(DirectReply.Executed(snapshot()))
+    }
+
+    private fun execute(c: Command) {
+        val key = "${c.jobId}/${c.index}#${c.attempt}"
+        val known = tasks[key]
+        when (c) {
+            is Command.Start -> if (known == null) start(key, c)
+            is Command.Stop -> if (known != null && known.phase != TaskReport.Phase.EXITED) exit(known, ExitCause.HALTED)
+            is Command.Forget -> if (known?.phase == TaskReport.Phase.EXITED) tasks.remove(key)
+        }
+        changed()
+    }
+
+    private fun start(key: String, c: Command.Start) {
+        val task = Task(c.jobId, c.index, c.attempt)
+        val same = tasks.values.any { it.name == task.name && it.phase != TaskReport.Phase.EXITED }
+        val spec = rehearsal.users.spec(c.jobId)
+        tasks[key] = task
+        when {
+            spec == null -> exit(task, ExitCause.NO_SUCH)
+            same -> exit(task, ExitCause.BUSY)
+            usedCpus() > type.room.cpus + 1e-6 -> exit(task, ExitCause.FULL)
+            else -> at(task, world.between(200, 3000), key) { begin(task, spec, key) }
+        }
+    }
+
+    private fun usedCpus(): Double =
+        tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.sumOf { rehearsal.users.spec(it.job)?.each?.cpus ?: 0.0 }
+
+    private fun begin(task: Task, spec: JobSpec, key: String) {
+        task.phase = TaskReport.Phase.RUNNING
+        rehearsal.rules.started(task, spec, this)
+        changed()
+        if (task.name in completed) return exit(task, ExitCause.DONE)
+        val ms = (spec.expectedS * 1000 * (0.5 + world.random.nextDouble())).toLong()
+        at(task, if (sick) 300 else ms, key) {
+            if (!sick) {
+                completed.add(task.name)
+                rehearsal.rules.completed(task)
+            }
+            exit(task, if (sick) ExitCause.ERROR else ExitCause.DONE)
+        }
+    }
+
+    /** Goes on with [task] later, if it is still there; a hanging machine goes on when it resumes. */
+    private fun at(task: Task, ms: Long, key: String, run: () -> Unit) {
+        world.after(ms) {
+            if (dead || tasks[key] !== task || task.phase == TaskReport.Phase.EXITED) return@after
+            if (hanging) at(task, hangUntil - world.time + 1, key, run)
+            else {
+                expire()
+                if (tasks[key] === task) run()
+            }
+        }
+    }
+
+    private fun exit(task: Task, cause: ExitCause) {
+        task.phase = TaskReport.Phase.EXITED
+        task.cause = cause
+        changed()
+    }
+
+    /** Tasks that count as being on this machine. */
+    fun onMachine(): List<Task> =
+        if (!present) emptyList() else tasks.values.filter { it.phase == TaskReport.Phase.RUNNING || it.phase == TaskReport.Phase.SAVING }
+}
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/World.kt
@@ -0,0 +1,67 @@
+package org.chalkhollow.rehearsal
+
+import java.util.PriorityQueue
+import java.util.SplittableRandom
+
+/** Virtual time: what is to happen, in order, and one seeded source of chance for everything that does. */
+class World(seed: Long) {
+    private class Event(val at: Long, val order: Long, val run: () -> Unit)
+
+    private val queue = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
+    private var order = 0L
+    val random = SplittableRandom(seed)
+
+    /** Milliseconds since the world began. */
+    var time = 0L
+        private set
+
+    /** Called after every event. */
+    var afterEach: () -> Unit = {}
+
+    fun after(ms: Long, run: () -> Unit) {
+        queue.add(Event(time + maxOf(0, ms), order++, run))
+    }
+
+    fun between(least: Long, most: Long): Long = random.nextLong(least, most + 1)
+
+    fun chance(p: Double): Boolean = random.nextDouble() < p
+
+    fun runUntil(end: Long) {
+        while (true) {
+            val next = queue.peek() ?: break
+            if (next.at > end) break
+            queue.poll()
+            time = next.at
+            next.run()
+            afterEach()
+        }
+        time = end
+    }
+}
+
+/** How the messages between two ends fare: delays, losses, and cuts that hold messages back. */
+class Network(private val world: World) {
+    private val cuts = HashMap<Set<String>, Cut>()
+
+    class Cut(val until: Long, val holds: Boolean)
+
+    /** Chance that a message is lost outright, and that it comes much later than its sender waits. */
+    var loss = 0.002
+    var late = 0.002
+
+    fun cut(a: String, b: String, forMs: Long, holds: Boolean) {
+        cuts[setOf(a, b)] = Cut(world.time + forMs, holds)
+    }
+
+    /** Delivers [run] at [to], or not. */
+    fun send(from: String, to: String, run: () -> Unit) {
+        val cut = cuts[setOf(from, to)]?.takeIf { it.until > world.time }
+        if (cut != null) {
+            if (cut.holds) world.after(cut.until - world.time + world.between(1, 50), run)
+            return
+        }
+        if (world.chance(loss)) return
+        val delay = if (world.chance(late)) world.between(2000, 30_000) else world.between(1, 12)
+        world.after(delay, run)
+    }
+}
