--- a/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
@@ -34,7 +34,7 @@
         val r = day(Rehearsal(seed), troubles = 14)
         assertEquals(emptyList<String>(), r.rules.violations)
         assertTrue(r.rules.acceptedCount >= 36, "only ${r.rules.acceptedCount} jobs were accepted")
-        assertTrue(r.rules.doneCount >= 25, "only ${r.rules.doneCount} jobs were told to be done")
+        assertTrue(r.rules.doneCount >= 30, "only ${r.rules.doneCount} jobs were told to be done")
     }
 
     @Test
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
@@ -17,6 +17,11 @@
     val acceptedCount: Int get() = acceptedIds.size
     val doneCount: Int get() = finalTold.values.count { it == "done" }
 
+    /** Accepted jobs whose end nobody was told yet. */
+    fun pending(): List<String> = acceptedIds.filter { it !in finalTold }.sorted().map { id ->
+        "$id: ${done[id]?.size ?: 0} of ${rehearsal.users.spec(id)?.tasks} tasks, ${rehearsal.users.spec(id)}"
+    }
+
     fun broken(rule: String, what: String) {
         if (violations.size < 20) violations.add("$rule at ${world.time}: $what")
     }
@@ -38,9 +43,8 @@
         done.getOrPut(task.job) { HashSet() }.add(task.index)
     }
 
-    fun accepted(id: String) {
-        acceptedIds.add(id)
-    }
+    /** Notes that a user was told that [id] is accepted; true the first time. */
+    fun accepted(id: String): Boolean = acceptedIds.add(id)
 
     fun refused(id: String, status: Int) {
         if (id in acceptedIds) broken("forgotten", "$id was accepted and is now answered with $status")
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Troubles.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Troubles.kt
@@ -9,6 +9,7 @@
     }
 
     private fun one() {
+        if (r.verbose) println("${world.time} -- trouble")
         val node = r.nodes[world.random.nextInt(r.nodes.size)]
         val worker = r.cloud.workers.filter { it.present }.let { if (it.isEmpty()) null else it[world.random.nextInt(it.size)] }
         when (world.random.nextInt(12)) {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
@@ -60,9 +60,9 @@
         call(UserAsk.Submit(UserCodec.job(raw), raw), 5000) { a ->
             when (a?.status) {
                 200, 201 -> {
-                    rehearsal.rules.accepted(spec.id)
+                    val first = rehearsal.rules.accepted(spec.id)
                     told(spec.id, a)
-                    if (tries == 0) world.after(3000) { poll(spec.id) }
+                    if (first) world.after(3000) { poll(spec.id) }
                     if (world.chance(0.2)) world.after(world.between(1000, 90_000)) { submit(spec, 1) }
                 }
                 400, 422 -> rehearsal.rules.refused(spec.id, a.status)
--- a/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
@@ -60,6 +60,7 @@
 
     fun hang(forMs: Long) {
         hangUntil = world.time + forMs
+        if (rehearsal.verbose) println("${world.time} $name hangs for $forMs")
     }
 
     private val hanging get() = world.time < hangUntil
@@ -67,13 +68,14 @@
     private fun tick() {
         if (dead) return
         world.after(100) { tick() }
+        expire() // a machine that hangs resumes within its lease or not at all with these tasks
         if (hanging) return
-        expire()
         if (!inFlight && world.time >= reportDueAt) report()
     }
 
     private fun expire() {
         if (world.time - leaseFrom <= leaseMs) return
+        if (rehearsal.verbose) println("${world.time} $name lease over, session $session ends")
         tasks.clear()
         session++
         leaseFrom = world.time
@@ -169,6 +171,7 @@
     }
 
     private fun execute(c: Command) {
+        if (rehearsal.verbose) println("${world.time} $name $c token $token session $session")
         val key = "${c.jobId}/${c.index}#${c.attempt}"
         val known = tasks[key]
         when (c) {
