Keep the operator's own machines; rent ordinary ones only for work that presses

Cause: every burst rented ordinary machines at three times the spot price, and idle returns threw image caches away. Ruled out: budgets (no request was refused).

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -26,9 +26,10 @@
     private val jobs = JobTable(desk, names, settings.stateLimits)
     private val quotas = Quotas(settings.teams)
     private val settlement = Settlement(desk, jobs, quotas) { leadership.generation }
-    private val fleet = Fleet(desk, names, settings, options, settings.label)
+    private val base = BaseFleet(desk, settings.stateLimits)
+    private val fleet = Fleet(desk, names, settings, options, settings.label, base)
     private val dispatch = DispatchLog(desk, settings.stateLimits, settlement, fleet)
-    private val placement = Placement(desk, jobs, quotas, fleet, options)
+    private val placement = Placement(desk, jobs, quotas, fleet, options, Aims(settings.objectives))
     private val door = Door(desk, leadership, log, jobs, quotas, fleet, names)
     private val incarnationId = incarnation
     private var loaded = false
@@ -46,6 +47,7 @@
         log.source(jobs::nextUrgent)
         log.source(::place)
         log.source { room -> jobs.nextCompletion(room, settlement::recorded) }
+        log.source(base::next)
         log.source(dispatch::nextTrash)
         log.source(jobs::nextTrash)
     }
@@ -92,7 +94,7 @@
         }
         if (desk.steady >= fleetAt) {
             fleetAt = desk.steady + FLEET_MS
-            fleet.tick(leading && leadership.entitled(), placement.unplaced, desk.steady - leadAt > settings.reportS * 2000)
+            fleet.tick(leading && leadership.entitled(), placement.unplaced, base.known && desk.steady - leadAt > settings.reportS * 2000)
         }
         desk.emit(Effect.Timer(desk.steady + TICK_MS))
     }
@@ -117,10 +119,11 @@
         jobs.clear()
         quotas.clear()
         settlement.clear()
+        base.start(generation)
         fleet.start(generation)
         dispatch.start(generation)
         log.start(LeadRecord(settings.label, incarnationId, generation, writes), stamp)
-        load(JobTable.JOB, null) { load(JobTable.PROGRESS, null) { load(DispatchLog.MARK, null, ::rebuilt) } }
+        load(JobTable.JOB, null) { load(JobTable.PROGRESS, null) { load(DispatchLog.MARK, null) { load(BaseFleet.PREFIX, null, ::rebuilt) } } }
     }
 
     override fun onDeposed() {
@@ -155,6 +158,7 @@
             when {
                 row.key.startsWith(JobTable.JOB) -> jobs.loadJob(row)
                 row.key.startsWith(JobTable.PROGRESS) -> jobs.loadPage(row)
+                row.key == BaseFleet.KEY -> base.load(row)
                 else -> dispatch.load(row, jobs)
             }
             log.seen(row.key, row.stamp)
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -14,6 +14,7 @@
     private val settings: PlatformSettings,
     private val options: OperatorSettings,
     private val label: String,
+    private val base: BaseFleet,
 ) {
     private val byName = HashMap<String, Machine>()
     private val gone = HashSet<String>()
@@ -70,6 +71,11 @@
 
     fun isGone(name: String): Boolean = name in gone
 
+    /** CPUs of the machines that are up or on their way. */
+    fun cpus(): Double = byName.values.sumOf { if (it.state == Machine.State.UP || it.state == Machine.State.BOOTING) size(it) else 0.0 }
+
+    fun price(m: Machine): Double = priceOf(m.type, m.spot)
+
     fun size(m: Machine): Double = types.getOrNull(m.type)?.room?.cpus ?: 0.0
 
     /** Takes in who reports; null for a machine that is gone or a session that is over. */
@@ -175,6 +181,7 @@
             if (reply.page.more && last != null) readList(last, found)
             else {
                 listAt = desk.steady
+                base.onList(found)
                 dropUnlisted(found)
             }
         }
@@ -246,11 +253,30 @@
         }
     }
 
+    /**
+     * Machines that have idled for too long, the dearest first. The operator's own machines stay, and rented ones may idle
+     * beside them while they cost less than [OperatorSettings.standbyShare] of what those do.
+     */
     private fun idle(t: Long): List<Machine> {
-        val idle = byName.values.filter { it.state == Machine.State.UP && it.idleSince != Machine.NEVER && !it.draining }
-        val spare = options.spareMachines
-        val long = idle.filter { t - it.idleSince > options.idleReturnS * 1000 }
-        return long.sortedByDescending { priceOf(it.type, it.spot) }.take(maxOf(0, idle.size - spare))
+        val idle = byName.values.filter {
+            it.state == Machine.State.UP && it.idleSince != Machine.NEVER && !it.draining && it.name !in base.names
+        }
+        val long = idle.filter { t - it.idleSince > idleAllowedMs(it) }.sortedByDescending { priceOf(it.type, it.spot) }
+        var standby = options.standbyShare * byName.values.filter { it.name in base.names }.sumOf { priceOf(it.type, it.spot) }
+        val out = ArrayList<Machine>()
+        for (m in long.reversed()) {
+            standby -= priceOf(m.type, m.spot)
+            if (standby < 0) out.add(m)
+        }
+        return out.take(maxOf(0, idle.size - options.spareMachines))
+    }
+
+    /** The dearer a machine is, compared with the cheapest way to have its like, the sooner it goes. */
+    private fun idleAllowedMs(m: Machine): Double {
+        val type = types.getOrNull(m.type) ?: return options.idleReturnS * 1000
+        val cheapest = minOf(type.price, type.spotPrice)
+        val price = priceOf(m.type, m.spot)
+        return options.idleReturnS * 1000 * (if (price > 0) minOf(1.0, cheapest / price) else 1.0)
     }
 
     private fun delete(list: List<Machine>) {
@@ -286,7 +312,7 @@
         for (u in unplaced) {
             var left = fill(u, rooms)
             while (left > 0 && total < options.maxMachines) {
-                val offer = cheapest(u.job, t) ?: break
+                val offer = cheapest(u, t) ?: break
                 val room = Virtual(offer.type, offer.zone, offer.spot, types[offer.type]?.room ?: break)
                 wanted.merge(offer, 1, Int::plus)
                 total++
@@ -325,7 +351,8 @@
     private fun overdue(m: Machine, t: Long): Boolean = t - m.bornAt > (types.getOrNull(m.type)?.bootS ?: 60.0) * 2000
 
     /** The offer with the lowest price for one task of [job], among those not refused lately. */
-    private fun cheapest(job: OpenJob, t: Long): Offer? {
+    private fun cheapest(u: Placement.Unplaced, t: Long): Offer? {
+        val job = u.job
         var best: Offer? = null
         var bestPrice = Double.MAX_VALUE
         for ((index, type) in types.withIndex()) {
@@ -337,6 +364,8 @@
                 for (spot in SPOT_FIRST) {
                     val offer = Offer(index, zone, spot)
                     if (!allows(job, index, zone, spot) || t < (refusedUntil[offer] ?: 0)) continue
+                    // What spot machines may run can wait for them, unless it would be late.
+                    if (!spot && job.spec.spotAllowed && !u.pressing && type.spotPrice < type.price) continue
                     // Ties between zones go to the one with fewer machines, so that no zone holds them all.
                     val price = priceOf(index, spot) / each * (1 + byName.values.count { it.zone == zone } * 1e-4)
                     if (price < bestPrice) {
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -14,9 +14,10 @@
     private val quotas: Quotas,
     private val fleet: Fleet,
     private val options: OperatorSettings,
+    private val aims: Aims,
 ) {
-    /** A class of tasks that found no room, for the fleet to rent by. */
-    class Unplaced(val job: OpenJob, val count: Int)
+    /** A class of tasks that found no room, for the fleet to rent by; [pressing] if it would be late without dear machines. */
+    class Unplaced(val job: OpenJob, val count: Int, val pressing: Boolean)
 
     var unplaced: List<Unplaced> = emptyList()
         private set
@@ -28,7 +29,7 @@
     fun order(): List<OpenJob> {
         val waiting = jobs.open.filter { it.placeable && !it.cancelling && it.notBefore <= desk.steady }
         return waiting.sortedWith(
-            compareBy({ it.spec.priority.ordinal }, { if (withinGuarantee(it)) 0 else 1 }, { it.dueWall }, { it.acceptedWall }, { it.entry.id }),
+            compareBy({ it.spec.priority.ordinal }, { if (withinGuarantee(it)) 0 else 1 }, { aims.dueWall(it) }, { it.acceptedWall }, { it.entry.id }),
         )
     }
 
@@ -40,6 +41,8 @@
         for (m in machines) rooms[m] = m.room(fleet.types)
         val out = ArrayList<Allocation>()
         val left = ArrayList<Unplaced>()
+        val capacity = fleet.cpus()
+        var backlog = 0.0 // CPU seconds of waiting work, this job's and what goes before it
         val given = HashMap<Int, Double>() // by team, in this round
         val givenCards = HashMap<Int, Double>()
         for (job in order()) {
@@ -49,12 +52,23 @@
             val placed = place(job, want, machines, out)
             given.merge(job.team, placed * job.each.cpus, Double::plus)
             givenCards.merge(job.team, placed * job.each.cards, Double::plus)
-            if (placed < want) left.add(Unplaced(job, want - placed))
+            if (placed < want) {
+                backlog += (want - placed) * job.each.cpus * job.spec.expectedS
+                left.add(Unplaced(job, want - placed, pressing(job, backlog / maxOf(1.0, capacity))))
+            }
         }
         unplaced = left
         return out
     }
 
+    /** Whether a job that waits for [waitS] more seconds would start or end too late. */
+    private fun pressing(job: OpenJob, waitS: Double): Boolean {
+        if (aims.startsCount(job) || withinGuarantee(job)) return true
+        val due = aims.dueWall(job)
+        if (due == Long.MAX_VALUE) return false
+        return desk.now.wall + (waitS + job.spec.expectedS * LATE_FACTOR) * 1000 > due
+    }
+
     private fun headroom(job: OpenJob, given: Map<Int, Double>, givenCards: Map<Int, Double>): Int {
         val extra = Resources(given[job.team] ?: 0.0, givenCards[job.team] ?: 0.0, 0.0)
         return quotas.headroom(job.team, job.each, extra)
@@ -100,8 +114,10 @@
 
     private fun allowed(job: OpenJob, m: Machine): Boolean = fleet.allows(job, m.type, m.zone, m.spot) && m.id !in job.failedOn
 
-    /** Whether a machine of this type could ever run a task of this job. */
     companion object {
+        private const val LATE_FACTOR = 1.5
+
+        /** Whether a machine of this type could ever run a task of this job. */
         fun fitsType(job: OpenJob, type: Int, machineType: MachineType): Boolean =
             (job.types == null || type in job.types) && job.each.fitsIn(machineType.room)
     }
--- a/src/main/kotlin/org/chalkhollow/settings/OperatorSettings.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/OperatorSettings.kt
@@ -15,10 +15,12 @@
     val promiseMs: Long = 3000,
     /** How long a leader may go on through an outage of the state service on the strength of promises alone. */
     val outageLimitMs: Long = 120_000,
-    /** How long a rented machine may idle before it is returned. */
+    /** How long a rented machine may idle before it is returned; dearer ones go sooner. */
     val idleReturnS: Double = 60.0,
-    /** Share of what the guarantees allow that is kept free for work to come, in CPUs of the largest type. */
-    val spareMachines: Int = 1,
+    /** What idle rented machines may cost, as a share of what the operator's own machines cost. */
+    val standbyShare: Double = 1.0,
+    /** Idle rented machines that are kept for work to come. */
+    val spareMachines: Int = 0,
     /** Most machines that may be rented at once. */
     val maxMachines: Int = 1000,
 )
