--- a/src/main/kotlin/org/chalkhollow/core/Leadership.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Leadership.kt
@@ -105,8 +105,20 @@
     /** Whether this controller leads or has heard from a leader within [ms]. */
     fun inTouch(ms: Long): Boolean = entitled() || desk.steady - leaderHeardAt < ms
 
+    private var wasEntitled = false
+
+    private fun noteEntitlement(t: Long) {
+        val now = entitled()
+        if (now == wasEntitled) return
+        wasEntitled = now
+        if (role != Role.LEADER) return
+        if (now) desk.info("entitled to lead again")
+        else desk.warn("not entitled to lead: last renewal ${t - renewedAt} ms ago, promises for ${promisedToMe() - t} ms, reports go unanswered")
+    }
+
     fun tick() {
         val t = desk.steady
+        noteEntitlement(t)
         when (role) {
             Role.LEADER -> lead(t)
             Role.FOLLOWER -> follow(t)
@@ -120,7 +132,7 @@
         if (record.owner == label) return // decided when it was read
         val stale = t - seenSince
         if (stale < stretched(options.leaderLeaseMs) + standOffset() || t < promisedUntil) return
-        if (t - servedAt > options.leaderRenewMs * 2 + 500) return // nothing can be written now
+        if (t - servedAt > options.leaderRenewMs * 2 + 700) return // nothing can be written now
         if (stale > stretched(options.outageLimitMs)) return stand("record unchanged for $stale ms")
         if (majority == 1) return stand("alone")
         if (t - startedAt < stretched(options.promiseMs)) return // an earlier life may have promised
@@ -224,8 +236,9 @@
 
     private fun lead(t: Long) {
         if (servedElsewhere(t)) {
-            if (!entitled()) depose("the state service serves others but not this controller")
-            return
+            // No longer entitled from here on, so the promises given to us bind nobody any more.
+            for (p in peers.indices) desk.emit(Effect.Send(p, PeerMessage.Release(generation)))
+            return depose("the state service serves others but not this controller")
         }
         if (t - promiseAskedAt < PROMISE_EVERY_MS) return
         promiseAskedAt = t
@@ -263,7 +276,7 @@
 
     /** Peers say that the state service serves them while it has been refusing us: this is no outage, so make way. */
     private fun servedElsewhere(t: Long): Boolean {
-        if (failingSince == NEVER || t - failingSince < options.leaderLeaseMs) return false
+        if (failingSince == NEVER || t - failingSince < options.leaderRenewMs * 3) return false
         return servedElsewhereSince.any { it != NEVER && t - it > MAKE_WAY_MS }
     }
 
@@ -278,6 +291,10 @@
         when (message) {
             is PeerMessage.PromiseAsk -> onPromiseAsk(from, message, t)
             is PeerMessage.Promise -> onPromise(from, message, t)
+            is PeerMessage.Release -> if (from == leaderPeer && message.generation == generation) {
+                promisedUntil = NEVER
+                leaderHeardAt = NEVER
+            }
             is PeerMessage.VoteAsk -> onVoteAsk(from, message, t)
             is PeerMessage.Vote -> onVote(from, message)
             else -> Unit
@@ -293,7 +310,7 @@
             leaderHeardAt = t
             leaderReady = ask.ready
         }
-        val served = t - servedAt < options.leaderRenewMs * 2
+        val served = t - servedAt < options.leaderRenewMs * 2 + 200
         desk.emit(Effect.Send(from, PeerMessage.Promise(ask.generation, ask.seq, granted, served)))
     }
 
@@ -333,11 +350,11 @@
     private companion object {
         const val NEVER = Long.MIN_VALUE / 4
         const val SENDS = 64
-        const val PROMISE_EVERY_MS = 500L
-        const val VOTE_RETRY_MS = 300L
+        const val PROMISE_EVERY_MS = 400L
+        const val VOTE_RETRY_MS = 150L
         const val RETRY_MS = 250L
-        const val STAND_STEP_MS = 120L
-        const val HEARD_MS = 2500L
-        const val MAKE_WAY_MS = 2000L
+        const val STAND_STEP_MS = 80L
+        const val HEARD_MS = 1600L
+        const val MAKE_WAY_MS = 1000L
     }
 }
--- a/src/main/kotlin/org/chalkhollow/mesh/PeerMessage.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/PeerMessage.kt
@@ -21,6 +21,11 @@
     @SerialName("promise")
     data class Promise(val generation: Long, val seq: Long, val granted: Boolean, val stateServed: Boolean) : PeerMessage
 
+    /** The leader of [generation] gives it up: promises made to it bind no longer. */
+    @Serializable
+    @SerialName("release")
+    data class Release(val generation: Long) : PeerMessage
+
     /** A candidate that saw leadership record [stamp] go stale asks for a vote for [generation]. */
     @Serializable
     @SerialName("vote?")
