--- a/src/main/kotlin/org/chalkhollow/core/Aims.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Aims.kt
@@ -19,6 +19,9 @@
     /** Whether users of this class wait for its tasks to start. */
     fun startsCount(job: OpenJob): Boolean = job.spec.workload in startWithin
 
+    /** Whether tasks that start now are still in time for the class's aim on starting. */
+    fun startable(job: OpenJob, wall: Long): Boolean = wall < job.acceptedWall + (startWithin[job.spec.workload] ?: return false)
+
     /** When the job should be over, by its owner's deadline or its class's aim; [Long.MAX_VALUE] if nobody says. */
     fun dueWall(job: OpenJob): Long {
         val within = finishWithin[job.spec.workload] ?: return job.dueWall
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -29,7 +29,7 @@
     fun order(): List<OpenJob> {
         val waiting = jobs.open.filter { it.placeable && !it.cancelling && it.notBefore <= desk.steady }
         return waiting.sortedWith(
-            compareBy({ it.spec.priority.ordinal }, { if (withinGuarantee(it)) 0 else 1 }, { aims.dueWall(it) }, { it.acceptedWall }, { it.entry.id }),
+            compareBy({ it.spec.priority.ordinal }, { if (withinGuarantee(it)) 0 else 1 }, { if (hopeless(it)) 1 else 0 }, { aims.dueWall(it) }, { it.acceptedWall }, { it.entry.id }),
         )
     }
 
@@ -61,6 +61,16 @@
         return out
     }
 
+    /**
+     * Whether the job has missed what its users wait for. When more is asked than can be done, work that can still be in time
+     * goes first: running what is late anyway would only make the rest late too.
+     */
+    private fun hopeless(job: OpenJob): Boolean {
+        if (aims.startable(job, desk.now.wall)) return false
+        val due = aims.dueWall(job)
+        return due != Long.MAX_VALUE && desk.now.wall + job.spec.expectedS * SURE_FACTOR * 1000 > due
+    }
+
     /** Whether a job that waits for [waitS] more seconds would start or end too late. */
     private fun pressing(job: OpenJob, waitS: Double): Boolean {
         if (aims.startsCount(job) || withinGuarantee(job)) return true
@@ -115,6 +125,7 @@
     private fun allowed(job: OpenJob, m: Machine): Boolean = fleet.allows(job, m.type, m.zone, m.spot) && m.id !in job.failedOn
 
     companion object {
+        private const val SURE_FACTOR = 0.8 // estimates are often too high; what may still do is not given up
         private const val LATE_FACTOR = 1.5
 
         /** Whether a machine of this type could ever run a task of this job. */
