--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -92,6 +92,7 @@
             m.session = report.session
             m.seq = -1
             m.images.clear()
+            m.held.clear()
         }
         m.state = Machine.State.UP
         m.reportedAt = desk.steady
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -93,6 +93,10 @@
     var stopSentAt = 0L
     var settled = false
     var since = 0L
+    var placedAt = 0L
+
+    /** The machine held the image when the attempt was placed. */
+    var cached = false
 
     val onMachine: Boolean get() = phase == Phase.FETCHING || phase == Phase.RUNNING || phase == Phase.SAVING
 }
--- a/src/main/kotlin/org/chalkhollow/core/Machine.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Machine.kt
@@ -35,6 +35,9 @@
     /** Tasks reported that no attempt of ours explains and that must go. */
     var orphans: List<TaskReport> = emptyList()
     val images = LinkedHashSet<Int>()
+
+    /** Images that some task here has run with in this session. */
+    val held = LinkedHashSet<Int>()
     var directBusy = false
     var idleSince = NEVER
 
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -1,6 +1,8 @@
 package org.chalkhollow.core
 
+import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap
 import org.chalkhollow.model.MachineType
+import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
 import org.chalkhollow.settings.OperatorSettings
 
@@ -37,6 +39,7 @@
 
     fun round(): List<Allocation> {
         rooms.clear()
+        lookForScarceTypes()
         val machines = fleet.placeable()
         for (m in machines) rooms[m] = m.room(fleet.types)
         val out = ArrayList<Allocation>()
@@ -122,9 +125,49 @@
         return if (some.sumOf { job.each.countIn(rooms.getValue(it)) } >= want) some else fits
     }
 
-    private fun allowed(job: OpenJob, m: Machine): Boolean = fleet.allows(job, m.type, m.zone, m.spot) && m.id !in job.failedOn
+    private fun allowed(job: OpenJob, m: Machine): Boolean =
+        fleet.allows(job, m.type, m.zone, m.spot) && m.id !in job.failedOn && !sparedFor(job, m.type)
+
+    /** When jobs that fit no other type were last seen, and last seen waiting, by type. */
+    private val onlyHereSeen = Int2LongOpenHashMap().apply { defaultReturnValue(Machine.NEVER) }
+    private val onlyHereWaited = Int2LongOpenHashMap().apply { defaultReturnValue(Machine.NEVER) }
+
+    private fun lookForScarceTypes() {
+        for (job in jobs.open) {
+            val type = onlyType(job)
+            if (type < 0) continue
+            onlyHereSeen.put(type, desk.steady)
+            if (!job.ready.isEmpty) onlyHereWaited.put(type, desk.steady)
+        }
+    }
+
+    private fun onlyType(job: OpenJob): Int {
+        var only = -1
+        var dearest = false
+        for ((index, type) in fleet.types.withIndex()) {
+            if (type == null || (job.types != null && index !in job.types)) continue
+            if (!job.each.fitsIn(type.room)) dearest = true
+            else if (only >= 0) return -1
+            else only = index
+        }
+        return if (dearest) only else -1
+    }
+
+    /**
+     * Types that alone can hold some jobs' tasks are left to those, since their work has nowhere else to go. Urgent work may use
+     * them all the same, and so may work that has waited long while nothing waits for the type.
+     */
+    private fun sparedFor(job: OpenJob, type: Int): Boolean {
+        val t = desk.steady
+        if (t - onlyHereSeen.get(type) > SCARCE_MS || onlyType(job) == type) return false
+        if (aims.startsCount(job) || job.spec.priority < Priority.STANDARD) return false
+        val waited = desk.now.wall - job.acceptedWall
+        return waited < PATIENCE_MS || t - onlyHereWaited.get(type) < PATIENCE_MS
+    }
 
     companion object {
+        private const val SCARCE_MS = 300_000L
+        private const val PATIENCE_MS = 30_000L
         private const val SURE_FACTOR = 0.8 // estimates are often too high; what may still do is not given up
         private const val LATE_FACTOR = 1.5
 
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -31,6 +31,8 @@
     fun reserve(job: OpenJob, index: Int, number: Long, machine: Machine, marker: Marker?): Attempt {
         val attempt = Attempt(job, index, number, machine, marker)
         attempt.since = desk.steady
+        attempt.placedAt = desk.steady
+        attempt.cached = job.image in machine.held
         machine.attempts.add(attempt)
         job.taken(index)
         quotas.add(job.team, job.each)
@@ -128,8 +130,12 @@
         if (a.phase == Attempt.Phase.EXITED || a.phase == phase) return
         val ran = a.onMachine && a.phase != Attempt.Phase.FETCHING
         a.phase = phase
+        if (phase == Attempt.Phase.RUNNING && a.job.image >= 0) a.machine.held.add(a.job.image)
         val runs = phase != Attempt.Phase.FETCHING
-        if (runs && !ran) a.job.running++
+        if (runs && !ran) {
+            a.job.running++
+            desk.debug("${a.job.spec.id}/${a.index} (${a.job.spec.workload}) runs ${desk.now.wall - a.job.acceptedWall} ms after it was accepted, ${desk.steady - a.placedAt} ms after it was placed on ${a.machine.name}${if (a.cached) ", image held" else ""}")
+        }
         if (!runs && ran) a.job.running--
         a.since = desk.steady
     }
