--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -35,29 +35,73 @@
         )
     }
 
-    fun withinGuarantee(job: OpenJob): Boolean = quotas.guaranteed(job.team, job.each) > 0
+    /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
+    private val guaranteed = HashSet<OpenJob>()
+
+    fun withinGuarantee(job: OpenJob): Boolean = job in guaranteed
+
+    private fun findGuaranteed() {
+        guaranteed.clear()
+        val cpus = HashMap<Int, Double>()
+        val cards = HashMap<Int, Double>()
+        for (job in jobs.open.sortedBy { it.acceptedWall }) {
+            if (job.cancelling || job.complete) continue
+            val c = cpus.merge(job.team, job.each.cpus * job.spec.tasks, Double::plus) ?: 0.0
+            val g = cards.merge(job.team, job.each.cards * job.spec.tasks, Double::plus) ?: 0.0
+            if (quotas.guarantees(job.team, c, g)) guaranteed.add(job)
+        }
+    }
+
+    /** Sizes in CPUs of the last jobs of classes whose users wait for tasks to start. */
+    private val urgentSizes = ArrayDeque<Double>()
+    private var urgentSeen = -1
+
+    private fun noteUrgentSizes() {
+        var newest = urgentSeen
+        for (job in jobs.open) {
+            if (job.entry.id <= urgentSeen || !aims.startsCount(job)) continue
+            newest = maxOf(newest, job.entry.id)
+            urgentSizes.addLast(job.each.cpus * job.spec.tasks)
+            if (urgentSizes.size > SIZES_KEPT) urgentSizes.removeFirst()
+        }
+        urgentSeen = newest
+    }
+
+    /** CPUs that work which can wait leaves free for urgent work to come: as much as its jobs mostly take. */
+    private fun reserve(): Double = if (urgentSizes.isEmpty()) 0.0 else options.urgentReserve * urgentSizes.average()
+
+    private fun yields(job: OpenJob): Boolean =
+        job.spec.priority >= Priority.STANDARD && !aims.startsCount(job) && !withinGuarantee(job) && !pressing(job, 0.0)
 
     fun round(): List<Allocation> {
         rooms.clear()
         lookForScarceTypes()
+        findGuaranteed()
+        noteUrgentSizes()
         val machines = fleet.placeable()
         for (m in machines) rooms[m] = m.room(fleet.types)
         val out = ArrayList<Allocation>()
         val left = ArrayList<Unplaced>()
         val capacity = fleet.cpus()
+        val reserve = reserve()
         var backlog = 0.0 // CPU seconds of waiting work, this job's and what goes before it
         val given = HashMap<Int, Double>() // by team, in this round
         val givenCards = HashMap<Int, Double>()
         for (job in order()) {
             var want = minOf(job.ready.cardinality(), headroom(job, given, givenCards))
+            val wanted = want
             if (job.failedOn.size > 2 && job.failures > 0) want = minOf(want, 1) // a probe, not the whole array
-            if (want <= 0) continue
+            if (yields(job)) want = minOf(want, ((rooms.values.sumOf { it.cpus } - reserve) / maxOf(job.each.cpus, 0.1)).toInt())
+            if (want <= 0) {
+                if (wanted > 0) left.add(Unplaced(job, wanted, false))
+                continue
+            }
             val placed = place(job, want, machines, out)
             given.merge(job.team, placed * job.each.cpus, Double::plus)
             givenCards.merge(job.team, placed * job.each.cards, Double::plus)
-            if (placed < want) {
-                backlog += (want - placed) * job.each.cpus * job.spec.expectedS
-                left.add(Unplaced(job, want - placed, pressing(job, backlog / maxOf(1.0, capacity))))
+            if (placed < wanted) {
+                backlog += (wanted - placed) * job.each.cpus * job.spec.expectedS
+                left.add(Unplaced(job, wanted - placed, pressing(job, backlog / maxOf(1.0, capacity))))
             }
         }
         unplaced = left
@@ -166,6 +210,7 @@
     }
 
     companion object {
+        private const val SIZES_KEPT = 50
         private const val SCARCE_MS = 300_000L
         private const val PATIENCE_MS = 30_000L
         private const val SURE_FACTOR = 0.8 // estimates are often too high; what may still do is not given up
--- a/src/main/kotlin/org/chalkhollow/core/Quotas.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Quotas.kt
@@ -25,9 +25,9 @@
     fun headroom(team: Int, each: Resources, extra: Resources): Int =
         if (team < 0) 0 else count(teams[team].cpusMax - cpus[team] - extra.cpus, teams[team].cardsMax - cards[team] - extra.cards, each)
 
-    /** How many more tasks of this size fit into what the team is guaranteed. */
-    fun guaranteed(team: Int, each: Resources): Int =
-        if (team < 0) 0 else count(teams[team].cpus - cpus[team], teams[team].cards - cards[team], each)
+    /** Whether this much fits into what the team is guaranteed. */
+    fun guarantees(team: Int, cpus: Double, cards: Double): Boolean =
+        team >= 0 && cpus <= teams[team].cpus + Resources.EPSILON && cards <= teams[team].cards + Resources.EPSILON
 
     /** Whether the team runs more than its guarantee. */
     fun beyond(team: Int): Boolean =
--- a/src/main/kotlin/org/chalkhollow/settings/OperatorText.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/OperatorText.kt
@@ -28,6 +28,7 @@
         Field("outage_limit_ms", INT, 0.0, 3_600_000.0),
         Field("idle_return_s", NUMBER, 1.0, 86_400.0),
         Field("standby_share", NUMBER, 0.0, 100.0),
+        Field("urgent_reserve", NUMBER, 0.0, 100.0),
         Field("spare_machines", INT, 0.0, 10_000.0),
         Field("max_machines", INT, 1.0, 100_000.0),
     )
@@ -58,6 +59,7 @@
             outageLimitMs = read("outage_limit_ms", d.outageLimitMs) { it.toLong() },
             idleReturnS = read("idle_return_s", d.idleReturnS) { it.toDouble() },
             standbyShare = read("standby_share", d.standbyShare) { it.toDouble() },
+            urgentReserve = read("urgent_reserve", d.urgentReserve) { it.toDouble() },
             spareMachines = read("spare_machines", d.spareMachines) { it.toInt() },
             maxMachines = read("max_machines", d.maxMachines) { it.toInt() },
         )
