--- a/src/main/kotlin/org/chalkhollow/core/Leadership.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Leadership.kt
@@ -102,8 +102,8 @@
 
     fun leaderIsReady(): Boolean = leaderReady
 
-    /** Whether this controller leads or has heard from a leader within [ms]. */
-    fun inTouch(ms: Long): Boolean = entitled() || desk.steady - leaderHeardAt < ms
+    /** Whether this controller leads, has heard from a leader within [ms], or has only just begun to listen for one. */
+    fun inTouch(ms: Long): Boolean = entitled() || desk.steady - maxOf(leaderHeardAt, startedAt) < ms
 
     private var wasEntitled = false
 
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -31,7 +31,7 @@
     fun order(): List<OpenJob> {
         val waiting = jobs.open.filter { it.placeable && !it.cancelling && it.notBefore <= desk.steady }
         return waiting.sortedWith(
-            compareBy({ it.spec.priority.ordinal }, { if (withinGuarantee(it)) 0 else 1 }, { if (hopeless(it)) 1 else 0 }, { aims.dueWall(it) }, { it.acceptedWall }, { it.entry.id }),
+            compareBy({ it.spec.priority.ordinal }, ::standing, { aims.dueWall(it) }, { it.acceptedWall }, { it.entry.id }),
         )
     }
 
@@ -108,6 +108,17 @@
         return out
     }
 
+    /**
+     * Where a job stands among those of its priority. Work whose start its users still wait for goes first, then what can be
+     * done in time, the teams' guarantees before the rest.
+     */
+    private fun standing(job: OpenJob): Int = when {
+        aims.startable(job, desk.now.wall) || withinGuarantee(job) && aims.freshGuarantee(job, desk.now.wall) -> 0
+        hopeless(job) -> 3
+        withinGuarantee(job) -> 1
+        else -> 2
+    }
+
     /**
      * Whether the job has missed what its users wait for. When more is asked than can be done, work that can still be in time
      * goes first: running what is late anyway would only make the rest late too.
