--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -28,6 +28,7 @@
     private val settlement = Settlement(desk, jobs, quotas) { leadership.generation }
     private val base = BaseFleet(desk, settings.stateLimits)
     private val fleet = Fleet(desk, names, settings, options, settings.label, base)
+    private val images = ImageMemory(desk, names, settings.stateLimits, fleet)
     private val dispatch = DispatchLog(desk, settings.stateLimits, settlement, fleet)
     private val placement = Placement(desk, jobs, quotas, fleet, options, Aims(settings.objectives))
     private val door = Door(desk, leadership, log, jobs, quotas, fleet, names)
@@ -48,6 +49,7 @@
         log.source(::place)
         log.source { room -> jobs.nextCompletion(room, settlement::recorded) }
         log.source(base::next)
+        log.source(images::next)
         log.source(dispatch::nextTrash)
         log.source(jobs::nextTrash)
     }
@@ -121,6 +123,7 @@
         settlement.clear()
         base.start(generation)
         fleet.start(generation)
+        images.start()
         dispatch.start(generation)
         log.start(LeadRecord(settings.label, incarnationId, generation, writes), stamp)
         load(JobTable.JOB, null) { load(JobTable.PROGRESS, null) { load(DispatchLog.MARK, null) { load(BaseFleet.PREFIX, null, ::rebuilt) } } }
@@ -159,6 +162,7 @@
                 row.key.startsWith(JobTable.JOB) -> jobs.loadJob(row)
                 row.key.startsWith(JobTable.PROGRESS) -> jobs.loadPage(row)
                 row.key == BaseFleet.KEY -> base.load(row)
+                row.key == ImageMemory.KEY -> images.load(row)
                 else -> dispatch.load(row, jobs)
             }
             log.seen(row.key, row.stamp)
@@ -202,6 +206,7 @@
         }
         // The worker's lease runs from when it sent this report, which is not after now.
         m.answeredAt = desk.steady
+        images.recall(m)
         val newer = report.seq > m.seq
         if (newer) m.seq = report.seq
         if (!loaded) {
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/ImageMemory.kt
@@ -0,0 +1,76 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.settings.StateLimits
+import org.chalkhollow.wire.Change
+import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Row
+
+/**
+ * Owns what is written down of which machine holds which images. Reports do not tell, and a new leader that did not know
+ * would send tasks to fetch again what lies ready elsewhere. It is a hint: losing it costs time, never correctness.
+ */
+class ImageMemory(private val desk: Desk, private val names: Names, private val limits: StateLimits, private val fleet: Fleet) {
+    private class Held(val session: Long, val images: List<String>)
+
+    private val remembered = HashMap<String, Held>()
+    private var writtenAt = 0L
+    private var written: Map<String, Any?>? = null
+
+    fun start() {
+        remembered.clear()
+        written = null
+        writtenAt = desk.steady
+    }
+
+    fun load(row: Row) {
+        val f = Fields.of(row.value, row.key)
+        val images = f.texts("images")
+        for ((machine, value) in Fields.of(f.map["held"], row.key).map) {
+            val list = (value as? List<*>)?.mapNotNull { (it as? Long)?.toInt() } ?: continue
+            val session = list.firstOrNull()?.toLong() ?: continue
+            remembered[machine] = Held(session, list.drop(1).mapNotNull(images::getOrNull))
+        }
+        for (m in fleet.machines) recall(m)
+    }
+
+    /** Gives [m] back what it held, if it is still in the session that this was noted in. */
+    fun recall(m: Machine) {
+        if (m.session == 0L) return
+        val held = remembered.remove(m.name) ?: return
+        if (held.session != m.session) return
+        for (image in held.images) {
+            val index = names.images.intern(image)
+            m.images.add(index)
+            m.held.add(index)
+        }
+    }
+
+    fun next(room: StateLog.Room): Write? {
+        if (room.ops < 1 || room.bytes < limits.valueBytes || desk.steady - writtenAt < EVERY_MS) return null
+        writtenAt = desk.steady
+        val value = value()
+        if (value == written) return null
+        written = value
+        return Write(listOf(Change(KEY, value))) {}
+    }
+
+    private fun value(): Map<String, Any?> {
+        val images = LinkedHashMap<Int, Int>()
+        val held = LinkedHashMap<String, List<Long>>()
+        var size = 64
+        for (m in fleet.machines) {
+            if (m.held.isEmpty() || m.state != Machine.State.UP) continue
+            val fresh = m.held.filter { it !in images }.sumOf { Sizes.of(names.images.name(it)) + 1 }
+            val bytes = Sizes.of(m.name) + 12 + m.held.size * 6 + fresh
+            if (size + bytes > limits.valueBytes) break
+            size += bytes
+            held[m.name] = listOf(m.session) + m.held.map { images.getOrPut(it) { images.size }.toLong() }
+        }
+        return mapOf("images" to images.keys.map(names.images::name), "held" to held)
+    }
+
+    companion object {
+        const val KEY = "fleet/images"
+        private const val EVERY_MS = 3000L
+    }
+}
