--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -131,7 +131,8 @@
 
     /** Whether a job that waits for [waitS] more seconds would start or end too late. */
     private fun pressing(job: OpenJob, waitS: Double): Boolean {
-        if (aims.startsCount(job) || withinGuarantee(job)) return true
+        // A machine rented now is up after its boot: work that will find room before that is not helped by it.
+        if (aims.startsCount(job) || withinGuarantee(job)) return waitS > fleet.bootS(job)
         val due = aims.dueWall(job)
         if (due == Long.MAX_VALUE) return false
         return desk.now.wall + (waitS + job.spec.expectedS * LATE_FACTOR) * 1000 > due
