--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -74,10 +74,6 @@
     /** CPUs of the machines that are up or on their way. */
     fun cpus(): Double = byName.values.sumOf { if (it.state == Machine.State.UP || it.state == Machine.State.BOOTING) size(it) else 0.0 }
 
-    /** The shortest boot among the types that fit [job], in seconds. */
-    fun bootS(job: OpenJob): Double =
-        types.withIndex().filter { (i, t) -> t != null && Placement.fitsType(job, i, t) }.minOfOrNull { it.value?.bootS ?: 0.0 } ?: 0.0
-
     fun price(m: Machine): Double = priceOf(m.type, m.spot)
 
     fun size(m: Machine): Double = types.getOrNull(m.type)?.room?.cpus ?: 0.0
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -131,8 +131,7 @@
 
     /** Whether a job that waits for [waitS] more seconds would start or end too late. */
     private fun pressing(job: OpenJob, waitS: Double): Boolean {
-        // A machine rented now is up after its boot: work that will find room before that is not helped by it.
-        if (aims.startsCount(job) || withinGuarantee(job)) return waitS > fleet.bootS(job)
+        if (aims.startsCount(job) || withinGuarantee(job)) return true
         val due = aims.dueWall(job)
         if (due == Long.MAX_VALUE) return false
         return desk.now.wall + (waitS + job.spec.expectedS * LATE_FACTOR) * 1000 > due
