--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -147,9 +147,7 @@
         if (zones.blocked) return 0
         val fits = machines.filter { allowed(job, it) && job.each.countIn(rooms.getValue(it)) > 0 }
         if (fits.isEmpty()) return 0
-        val ordered = sample(fits, want, job).sortedWith(
-            compareBy({ fleet.size(it) }, { if (job.image >= 0 && job.image !in it.images) 1 else 0 }, { rooms.getValue(it).cpus }, { it.id }),
-        )
+        val ordered = sample(fits, want, job).sortedWith(preference(job))
         if (job.spec.together) zones.chooseZone(ordered, rooms)
         var left = want
         var next = job.ready.nextSetBit(0)
@@ -172,6 +170,18 @@
         return want - left
     }
 
+    /**
+     * Which of the machines that fit come first: the smaller types, so that large ones stay whole; then those that hold the
+     * image, for work whose start somebody waits for, and else the cheaper ones, so that dear ones run dry and are returned;
+     * then the fullest.
+     */
+    private fun preference(job: OpenJob): Comparator<Machine> {
+        val holds = { m: Machine -> if (job.image >= 0 && job.image !in m.images) 1 else 0 }
+        val cost = { m: Machine -> fleet.extraCost(m) }
+        val urgent = aims.startsCount(job) || withinGuarantee(job)
+        return compareBy({ fleet.size(it) }, if (urgent) holds else cost, if (urgent) cost else holds, { rooms.getValue(it).cpus }, { it.id })
+    }
+
     /** Some machines that fit, from a random place on; all of them when the sample has too little room. */
     private fun sample(fits: List<Machine>, want: Int, job: OpenJob): List<Machine> {
         if (fits.size <= options.sampleSize) return fits
