--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -172,15 +172,15 @@
 
     /**
      * Which of the machines that fit come first: the smaller types, so that large ones stay whole; then those that hold the
-     * image, for work whose start somebody waits for, and else the cheaper ones, so that dear ones run dry and are returned;
-     * then the fullest.
+     * image; then the cheaper ones, so that dear ones run dry and are returned; then the fullest.
      */
-    private fun preference(job: OpenJob): Comparator<Machine> {
-        val holds = { m: Machine -> if (job.image >= 0 && job.image !in m.images) 1 else 0 }
-        val cost = { m: Machine -> fleet.extraCost(m) }
-        val urgent = aims.startsCount(job) || withinGuarantee(job)
-        return compareBy({ fleet.size(it) }, if (urgent) holds else cost, if (urgent) cost else holds, { rooms.getValue(it).cpus }, { it.id })
-    }
+    private fun preference(job: OpenJob): Comparator<Machine> = compareBy(
+        { fleet.size(it) },
+        { if (job.image >= 0 && job.image !in it.images) 1 else 0 },
+        { fleet.extraCost(it) },
+        { rooms.getValue(it).cpus },
+        { it.id },
+    )
 
     /** Some machines that fit, from a random place on; all of them when the sample has too little room. */
     private fun sample(fits: List<Machine>, want: Int, job: OpenJob): List<Machine> {
