--- a/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
@@ -48,9 +48,20 @@
             size = BASE_BYTES
             marker = null
         }
+        // A gang whose rows do not all fit waits for a round of its own: it is marked whole or not at all.
+        val tooLarge = allocations.filter { it.job.gang }.groupBy { it.job }.filterValues { rows ->
+            rows.sumOf { rowBytes(it) } + BASE_BYTES > minOf(limits.valueBytes, room.bytes / 2)
+        }.keys
+        var gangs: OpenJob? = null
         for (allocation in allocations) {
+            if (allocation.job in tooLarge) continue
+            if (allocation.job.gang && gangs !== allocation.job) {
+                gangs = allocation.job
+                seal() // a gang starts a value of its own, so that it cannot be cut by a full one
+                if (changes.size >= room.ops || total + allocations.filter { it.job === gangs }.sumOf { rowBytes(it) } + BASE_BYTES > room.bytes) break
+            }
             val row = listOf(allocation.job.spec.id, allocation.machine.name, ranges(allocation.tasks))
-            val rowSize = Sizes.of(row) + 2
+            val rowSize = rowBytes(allocation)
             if (rowSize + BASE_BYTES > limits.valueBytes) continue
             if (marker != null && size + rowSize > limits.valueBytes) seal()
             if (total + rowSize + BASE_BYTES > room.bytes) break
@@ -71,6 +82,8 @@
         }
     }
 
+    private fun rowBytes(a: Allocation): Int = Sizes.of(listOf(a.job.spec.id, a.machine.name, ranges(a.tasks))) + 2
+
     private fun nextMarker(): Marker {
         round++
         return Marker(MARK + generation.toString().padStart(12, '0') + "/" + round, generation * ROUNDS + round)
--- a/src/main/kotlin/org/chalkhollow/core/Door.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Door.kt
@@ -6,6 +6,7 @@
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.JobState
 import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.UserCodec
 
@@ -107,7 +108,9 @@
     /** Whether the team exists and its limit and some allowed machine type admit at least one task. */
     private fun canEverRun(spec: JobSpec): Boolean {
         val team = names.teams.find(spec.team)
-        if (team < 0 || !quotas.possible(team, spec.each)) return false
+        if (team < 0) return false
+        val atOnce = if (spec.shape == Shape.ARRAY) 1 else spec.tasks
+        if (!quotas.possible(team, Resources(spec.each.cpus * atOnce, spec.each.cards * atOnce, 0.0))) return false
         return fleet.types.filterNotNull().any { type ->
             (spec.types == null || type.name in spec.types) && (spec.zone == null || spec.zone in type.zones) && spec.each.fitsIn(type.room)
         }
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -74,11 +74,6 @@
     /** CPUs of the machines that are up or on their way. */
     fun cpus(): Double = byName.values.sumOf { if (it.state == Machine.State.UP || it.state == Machine.State.BOOTING) size(it) else 0.0 }
 
-    /** What keeping [m] costs; nothing for the operator's own, which stay in any case. */
-    fun extraCost(m: Machine): Double = if (m.name in base.names) 0.0 else price(m)
-
-    fun price(m: Machine): Double = priceOf(m.type, m.spot)
-
     fun size(m: Machine): Double = types.getOrNull(m.type)?.room?.cpus ?: 0.0
 
     /** Takes in who reports; null for a machine that is gone or a session that is over. */
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.JobState
+import org.chalkhollow.model.Shape
 import java.util.BitSet
 
 /** A job that is not over, or whose attempts are not all gone yet; indices stand for all names. */
@@ -43,6 +44,7 @@
     /** The end of the time that its owner gave it, by the time of day. */
     val dueWall: Long = spec.dueS?.let { acceptedWall + (it * 1000).toLong() } ?: Long.MAX_VALUE
 
+    val gang: Boolean get() = spec.shape == Shape.GANG
     val complete: Boolean get() = doneCount == spec.tasks
     val cancelled: Boolean get() = entry.state == JobState.CANCELLED
     val placeable: Boolean get() = !cancelling && !complete && entry.state == JobState.OPEN && !ready.isEmpty
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -92,11 +92,12 @@
             val wanted = want
             if (job.failedOn.size > 2 && job.failures > 0) want = minOf(want, 1) // a probe, not the whole array
             if (yields(job)) want = minOf(want, ((rooms.values.sumOf { it.cpus } - reserve) / maxOf(job.each.cpus, 0.1)).toInt())
+            if (job.gang && (!job.live.isEmpty() || want < job.ready.cardinality())) want = 0 // all at once or not at all
             if (want <= 0) {
                 if (wanted > 0) left.add(Unplaced(job, wanted, false))
                 continue
             }
-            val placed = place(job, want, machines, out)
+            val placed = if (job.gang) placeGang(job, want, machines, out) else place(job, want, machines, out)
             given.merge(job.team, placed * job.each.cpus, Double::plus)
             givenCards.merge(job.team, placed * job.each.cards, Double::plus)
             if (placed < wanted) {
@@ -142,6 +143,16 @@
         return quotas.headroom(job.team, job.each, extra)
     }
 
+    /** Places all tasks of a gang in this round, or gives back whatever it had taken. */
+    private fun placeGang(job: OpenJob, want: Int, machines: List<Machine>, out: MutableList<Allocation>): Int {
+        val before = HashMap(rooms)
+        val size = out.size
+        if (place(job, want, machines, out) == want) return want
+        rooms.putAll(before)
+        while (out.size > size) out.removeLast()
+        return 0
+    }
+
     private fun place(job: OpenJob, want: Int, machines: List<Machine>, out: MutableList<Allocation>): Int {
         val zones = ZoneRule(job, fleet)
         if (zones.blocked) return 0
@@ -172,12 +183,11 @@
 
     /**
      * Which of the machines that fit come first: the smaller types, so that large ones stay whole; then those that hold the
-     * image; then the cheaper ones, so that dear ones run dry and are returned; then the fullest.
+     * image; then the fullest. Cost was tried as a tie-break and did not help, see docs/measurements.md.
      */
     private fun preference(job: OpenJob): Comparator<Machine> = compareBy(
         { fleet.size(it) },
         { if (job.image >= 0 && job.image !in it.images) 1 else 0 },
-        { fleet.extraCost(it) },
         { rooms.getValue(it).cpus },
         { it.id },
     )
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.core
 
 import org.chalkhollow.model.JobState
+import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.Command
 import org.chalkhollow.wire.ExitCause
 import org.chalkhollow.wire.TaskReport
@@ -144,7 +145,7 @@
         release(a)
         a.phase = Attempt.Phase.EXITED
         val job = a.job
-        if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN) {
+        if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN && job.spec.shape != Shape.SERVICE) {
             a.machine.failedJobs.clear()
             if (!job.done.get(a.index)) {
                 job.failures = 0
--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -136,6 +136,7 @@
         val spec = try {
             UserCodec.job(body)
         } catch (e: Malformed) {
+            log.debug("a submission is malformed: {}", e.message)
             return HttpReply(400, null)
         }
         return call { Input.User(it, UserAsk.Submit(spec, body)) }
--- a/src/main/kotlin/org/chalkhollow/wire/UserCodec.kt
+++ b/src/main/kotlin/org/chalkhollow/wire/UserCodec.kt
@@ -3,6 +3,7 @@
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Shape
 
 /** The users' side of the protocol: job descriptions in, job states out. */
 object UserCodec {
@@ -15,6 +16,8 @@
         "standard" to Priority.STANDARD,
         "best_effort" to Priority.BEST_EFFORT,
     )
+    private val shapes = mapOf("batch" to Shape.ARRAY, "group" to Shape.GANG, "service" to Shape.SERVICE)
+    private val shapeNames = shapes.entries.associate { (k, v) -> v to k }
     private val priorityNames = priorities.entries.associate { (k, v) -> v to k }
 
     /** Whether [id] has the form that users' job ids always have. */
@@ -26,7 +29,7 @@
     fun job(f: Fields): JobSpec {
         val id = f.text("nameId")
         if (!validId(id)) throw Malformed("field nameId is missing or invalid")
-        if (f.text("shape") != "batch") throw Malformed("field shape is missing or invalid")
+        val shape = shapes[f.text("shape")] ?: throw Malformed("field shape is missing or invalid")
         val tasks = f.long("pieces")
         if (tasks !in 1..MAX_TASKS) throw Malformed("field pieces is missing or invalid")
         val types = if (f.has("flavours")) f.texts("flavours").onEach { short(it, "flavours") } else null
@@ -35,6 +38,7 @@
             id = id,
             workload = short(f.text("workload"), "workload"),
             team = short(f.text("owner"), "owner"),
+            shape = shape,
             priority = priorities[f.text("urgency")] ?: throw Malformed("field urgency is missing or invalid"),
             tasks = tasks.toInt(),
             each = Resources(f.amount("vcpus"), f.amount("cards"), f.amount("memoryGb")),
@@ -45,7 +49,7 @@
             together = f.flag("together"),
             spread = f.flag("spread"),
             spotAllowed = f.flag("standby"),
-            expectedS = f.amount("expectedS"),
+            expectedS = if (shape == Shape.SERVICE && !f.has("expectedS")) 0.0 else f.amount("expectedS"),
             checkpointS = f.amount("snapshotS"),
             saveS = f.amount("flushS"),
             dueS = if (f.has("dueS")) f.amount("dueS") else null,
@@ -54,7 +58,7 @@
 
     /** The same job as a map, in the form that [job] reads; it is also the form in which jobs are written down. */
     fun map(spec: JobSpec): Map<String, Any?> = mapOf(
-        "nameId" to spec.id, "workload" to spec.workload, "owner" to spec.team, "shape" to "batch",
+        "nameId" to spec.id, "workload" to spec.workload, "owner" to spec.team, "shape" to shapeNames.getValue(spec.shape),
         "urgency" to priorityNames.getValue(spec.priority), "pieces" to spec.tasks,
         "vcpus" to spec.each.cpus, "cards" to spec.each.cards, "memoryGb" to spec.each.memoryGb,
         "bundle" to spec.image, "pullGb" to spec.imageGb, "flavours" to spec.types, "site" to spec.zone,
--- a/src/main/kotlin/org/chalkhollow/wire/WorkerCodec.kt
+++ b/src/main/kotlin/org/chalkhollow/wire/WorkerCodec.kt
@@ -41,12 +41,12 @@
 /** The workers' side of the protocol. */
 object WorkerCodec {
     private val phases = mapOf(
-        "pulling" to TaskReport.Phase.FETCHING, "running" to TaskReport.Phase.RUNNING,
+        "pulling" to TaskReport.Phase.FETCHING, "gathering" to TaskReport.Phase.FETCHING, "running" to TaskReport.Phase.RUNNING,
         "saving" to TaskReport.Phase.SAVING, "exited" to TaskReport.Phase.EXITED,
     )
     private val causes = mapOf(
         "done" to ExitCause.DONE, "halted" to ExitCause.HALTED, "error" to ExitCause.ERROR,
-        "full" to ExitCause.FULL, "busy" to ExitCause.BUSY, "no_such" to ExitCause.NO_SUCH,
+        "full" to ExitCause.FULL, "busy" to ExitCause.BUSY, "peers" to ExitCause.HALTED, "incomplete" to ExitCause.HALTED, "no_such" to ExitCause.NO_SUCH,
     )
 
     fun report(bytes: ByteArray): WorkerReport {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
@@ -5,6 +5,7 @@
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.Fields
 import org.chalkhollow.wire.Pack
 import org.chalkhollow.wire.UserCodec
@@ -30,7 +31,7 @@
         val checkpoint = if (world.chance(0.3)) 2.0 else 0.0
         return JobSpec(
             id = id, workload = "w" + world.random.nextInt(3), team = rehearsal.settings.teams[world.random.nextInt(2)].name,
-            priority = Priority.entries[world.random.nextInt(4)], tasks = world.random.nextInt(1, 14),
+            shape = Shape.ARRAY, priority = Priority.entries[world.random.nextInt(4)], tasks = world.random.nextInt(1, 14),
             each = Resources(world.random.nextInt(1, 5).toDouble(), 0.0, 4.0), image = "img-" + world.random.nextInt(3), imageGb = 1.0,
             types = if (world.chance(0.1)) listOf(rehearsal.types[world.random.nextInt(2)].name) else null, zone = zone,
             together = zone == null && world.chance(0.15), spread = world.chance(0.15), spotAllowed = world.chance(0.7),
