--- a/src/main/kotlin/org/chalkhollow/core/Desk.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Desk.kt
@@ -1,6 +1,6 @@
 package org.chalkhollow.core
 
-import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import org.agrona.collections.Int2ObjectHashMap
 import org.chalkhollow.wire.Pack
 import java.util.SplittableRandom
 
@@ -9,9 +9,9 @@
     var now = Now(0, 0)
     val random = SplittableRandom(seed)
     private var effects = ArrayList<Effect>()
-    private val stateWaits = Int2ObjectOpenHashMap<(StateReply) -> Unit>()
-    private val cloudWaits = Int2ObjectOpenHashMap<(CloudReply) -> Unit>()
-    private val directWaits = Int2ObjectOpenHashMap<(DirectReply) -> Unit>()
+    private val stateWaits = Int2ObjectHashMap<(StateReply) -> Unit>()
+    private val cloudWaits = Int2ObjectHashMap<(CloudReply) -> Unit>()
+    private val directWaits = Int2ObjectHashMap<(DirectReply) -> Unit>()
     private var nextTicket = 1
 
     val steady: Long get() = now.steady
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -182,16 +182,19 @@
     }
 
     /**
-     * Which of the machines that fit come first: the smaller types, so that large ones stay whole; then those that hold the
+     * Which of the machines that fit come first: for work whose start users wait for, those that hold the image; the smaller types, so that large ones stay whole; then those that hold the
      * image; then the fullest. Cost was tried as a tie-break and did not help, see docs/measurements.md.
      */
     private fun preference(job: OpenJob): Comparator<Machine> = compareBy(
+        { if (aims.startsCount(job) && fetches(job, it)) 1 else 0 },
         { fleet.size(it) },
-        { if (job.image >= 0 && job.image !in it.images) 1 else 0 },
+        { if (fetches(job, it)) 1 else 0 },
         { rooms.getValue(it).cpus },
         { it.id },
     )
 
+    private fun fetches(job: OpenJob, m: Machine): Boolean = job.image >= 0 && job.image !in m.images
+
     /** Some machines that fit, from a random place on; all of them when the sample has too little room. */
     private fun sample(fits: List<Machine>, want: Int, job: OpenJob): List<Machine> {
         if (fits.size <= options.sampleSize) return fits
--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -107,6 +107,7 @@
 
     private suspend fun handle(method: String, uri: String, body: ByteArray): HttpReply {
         val path = uri.substringBefore('?')
+        val arrived = System.nanoTime()
         val reply = when {
             path == "/up" -> only(method, "GET") { HttpReply(if (controller.takesRequests(now())) 200 else 503, null) }
             path == "/agent/beat" -> only(method, "POST") { beat(body) }
@@ -116,6 +117,7 @@
             else -> HttpReply(404, null)
         }
         meters.answered(reply.status)
+        meters.took(if (path == "/agent/beat") "report" else if (path.startsWith("/work")) "user" else "other", (System.nanoTime() - arrived) / 1000)
         return reply
     }
 
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
@@ -0,0 +1,141 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Team
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.wire.Row
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class PartsTest {
+    @Test
+    fun `index ranges are written and read back`() {
+        for (set in listOf(intArrayOf(0), intArrayOf(0, 1, 2, 7), intArrayOf(3, 5, 6, 99_999), IntArray(1000) { it * 2 })) {
+            assertEquals(set.toList(), DispatchLog.indices(DispatchLog.ranges(set)))
+        }
+        assertEquals("0-3,7", DispatchLog.ranges(intArrayOf(0, 1, 2, 3, 7)))
+    }
+
+    @Test
+    fun `a team's limit counts every attempt that may run, and what the round has given`() {
+        val each = Resources(4.0, 0.0, 1.0)
+        val quotas = Quotas(listOf(Team("t", 8.0, 16.0, 0.0, 0.0)))
+        assertEquals(4, quotas.headroom(0, each, Resources(0.0, 0.0, 0.0)))
+        quotas.add(0, each)
+        assertEquals(2, quotas.headroom(0, each, Resources(4.0, 0.0, 0.0)))
+        assertTrue(quotas.guarantees(0, 8.0, 0.0))
+        assertFalse(quotas.guarantees(0, 8.1, 0.0))
+        assertEquals(0, quotas.headroom(-1, each, Resources(0.0, 0.0, 0.0)), "a team the settings do not know has no room")
+    }
+
+    /** A leadership alone, with peers played by hand. */
+    private class Bench(peers: Int) : Leadership.Events {
+        val desk = Desk(3)
+        val options = OperatorSettings()
+        var elected = 0L
+        var deposed = false
+        val leadership = Leadership(desk, "m", List(peers) { "p$it" }, 77, options, 0, this)
+
+        override fun onElected(generation: Long, stamp: Long, writes: Long) {
+            elected = generation
+        }
+
+        override fun onDeposed() {
+            deposed = true
+        }
+
+        fun at(ms: Long, run: Leadership.() -> Unit = { tick() }): List<Effect> {
+            desk.now = Now(ms, ms)
+            leadership.run()
+            return desk.drain()
+        }
+
+        fun answer(e: Effect.State, reply: StateReply) {
+            desk.reply(Input.State(e.ticket, reply))
+        }
+
+        fun record(owner: String, life: Long, stamp: Long) =
+            StateReply.Found(Row(LeadRecord.KEY, LeadRecord(owner, life, 5, 9).value().mapValues { (_, v) -> v }, stamp))
+    }
+
+    private fun Bench.watch(from: Long, to: Long, stamp: Long): List<Effect> {
+        val all = ArrayList<Effect>()
+        var t = from
+        while (t <= to) {
+            val out = at(t)
+            for (e in out) if (e is Effect.State && e.op is StateOp.Read) answer(e, record("p0", 1, stamp))
+            all.addAll(out + desk.drain())
+            t += 100
+        }
+        return all
+    }
+
+    @Test
+    fun `nobody stands without votes while a leader may hold promises`() {
+        val b = Bench(2)
+        val out = b.watch(0, 20_000, stamp = 4)
+        assertTrue(out.any { it is Effect.Send && it.message is PeerMessage.VoteAsk })
+        assertFalse(out.any { it is Effect.State && it.op is StateOp.Commit }, "stood without a vote")
+        val late = b.watch(20_100, b.options.outageLimitMs + 5_000, stamp = 4)
+        assertTrue(late.any { it is Effect.State && it.op is StateOp.Commit }, "never stands, even when no leader can be left")
+    }
+
+    @Test
+    fun `no vote is given against a promise, nor by a process too young to know its promises`() {
+        val b = Bench(2)
+        fun vote(t: Long) = b.at(t) { onPeer(1, PeerMessage.VoteAsk(6, 4, t)) }
+            .filterIsInstance<Effect.Send>().map { it.message }.filterIsInstance<PeerMessage.Vote>().single().granted
+        assertFalse(vote(500))
+        assertTrue(vote(3_000))
+        val c = Bench(2)
+        c.at(5_000) { onPeer(0, PeerMessage.PromiseAsk(5, 1, true)) }
+        val granted = c.at(5_500) { onPeer(1, PeerMessage.VoteAsk(6, 4, 1)) }
+            .filterIsInstance<Effect.Send>().map { it.message }.filterIsInstance<PeerMessage.Vote>().single().granted
+        assertFalse(granted)
+    }
+
+    @Test
+    fun `a voter makes no promise to the older generation`() {
+        val b = Bench(2)
+        b.at(4_000) { onPeer(1, PeerMessage.VoteAsk(6, 4, 1)) }
+        val promise = b.at(4_100) { onPeer(0, PeerMessage.PromiseAsk(5, 9, true)) }
+            .filterIsInstance<Effect.Send>().map { it.message }.filterIsInstance<PeerMessage.Promise>().single()
+        assertFalse(promise.granted)
+    }
+
+    @Test
+    fun `a leader is entitled by a write for its lease, and beyond it only by promises`() {
+        val b = Bench(2)
+        val read = b.at(0).filterIsInstance<Effect.State>().single()
+        b.answer(read, StateReply.Missing)
+        val commit = b.desk.drain().filterIsInstance<Effect.State>().single()
+        b.answer(commit, StateReply.Committed(2))
+        val asks = b.desk.drain().filterIsInstance<Effect.Send>().map { it.message }.filterIsInstance<PeerMessage.PromiseAsk>()
+        assertEquals(1L, b.elected)
+        b.at(1_900)
+        assertTrue(b.leadership.entitled())
+        b.at(2_100)
+        assertFalse(b.leadership.entitled())
+        // A promise counts from when it was asked for, not from when it came.
+        b.at(2_100) { onPeer(0, PeerMessage.Promise(1, asks.first().seq, true, false)) }
+        assertFalse(b.leadership.entitled())
+        val again = b.at(2_500).filterIsInstance<Effect.Send>().map { it.message }.filterIsInstance<PeerMessage.PromiseAsk>().first()
+        b.at(2_600) { onPeer(0, PeerMessage.Promise(1, again.seq, true, false)) }
+        assertTrue(b.leadership.entitled())
+        b.at(2_500 + b.options.promiseMs)
+        assertFalse(b.leadership.entitled())
+    }
+
+    @Test
+    fun `a controller that led before its restart takes over at once with a new generation`() {
+        val b = Bench(2)
+        val read = b.at(0).filterIsInstance<Effect.State>().single()
+        b.answer(read, b.record("m", 76, 12))
+        val commit = b.desk.drain().filterIsInstance<Effect.State>().single().op as StateOp.Commit
+        assertEquals(12L, commit.conditions.single().stamp)
+        assertEquals(6L, commit.changes.single().value?.get("generation"))
+    }
+}
