Count a cancelled job's tasks against its team after a change of leader

Cause: a cancelled job's record kept only its state, so a new leader skipped its markers and did not count tasks that were still on machines; the team could exceed its limit until they were killed. The record keeps the description, and such attempts are settled like all others.

--- a/src/main/kotlin/org/chalkhollow/core/JobTable.kt
+++ b/src/main/kotlin/org/chalkhollow/core/JobTable.kt
@@ -26,6 +26,7 @@
     fun clear() {
         entries.clear()
         openJobs.clear()
+        cancelledJobs.clear()
         urgent.clear()
         trash.clear()
         names.jobs.clear()
@@ -61,21 +62,24 @@
         )
     }
 
-    private fun openUp(entry: JobEntry, spec: JobSpec, wall: Long): OpenJob {
+    private fun openUp(entry: JobEntry, spec: JobSpec, wall: Long): OpenJob =
+        describe(entry, spec, wall).also {
+            entry.open = it
+            openJobs.add(it)
+        }
+
+    private fun describe(entry: JobEntry, spec: JobSpec, wall: Long): OpenJob {
         val types = spec.types?.let { list -> IntOpenHashSet(list.map { names.types.intern(it) }) }
         val image = spec.image?.let(names.images::intern) ?: Interner.UNKNOWN
         val zone = spec.zone?.let(names.zones::intern) ?: Interner.UNKNOWN
-        val job = OpenJob(entry, spec, names.teams.find(spec.team), image, types, zone, wall)
-        entry.open = job
-        openJobs.add(job)
-        return job
+        return OpenJob(entry, spec, names.teams.find(spec.team), image, types, zone, wall)
     }
 
     /** Queues the cancellation of an open job; [then] runs once it is durable. */
     fun cancel(job: OpenJob, then: () -> Unit) {
         job.cancelling = true
         urgent.add(
-            Write(listOf(Change(JOB + job.spec.id, finalRecord("cancelled", job)))) {
+            Write(listOf(Change(JOB + job.spec.id, finalRecord("cancelled", job) + ("j" to UserCodec.map(job.spec))))) {
                 close(job, JobState.CANCELLED)
                 onCancelled(job)
                 then()
@@ -173,7 +177,13 @@
                 openUp(entry, spec, f.long("at"))
             }
             "done" -> entry(id, f.long("n").toInt()).state = JobState.DONE
-            else -> entry(id, f.long("n").toInt()).state = JobState.CANCELLED
+            else -> {
+                val entry = entry(id, f.long("n").toInt())
+                entry.state = JobState.CANCELLED
+                // Its tasks may still be on machines, and count against the team's limit until they are gone: an earlier
+                // version forgot them at a change of leader and let the team exceed its limit.
+                f.map["j"]?.let { spec -> cancelledJobs[id] = lazy { describe(entry, UserCodec.job(Fields.of(spec, row.key)), 0) } }
+            }
         }
     }
 
@@ -191,8 +201,14 @@
         for (i in bits.stream()) job.markDone(from + i)
     }
 
+    private val cancelledJobs = HashMap<String, Lazy<OpenJob>>()
+
+    /** While loading: the job whose attempts a marker lists, unless all of them are certainly over. */
+    fun marked(id: String): OpenJob? = find(id)?.open ?: cancelledJobs[id]?.value
+
     /** A job whose last page was written but not its end: the end is written now. */
     fun afterLoad() {
+        cancelledJobs.clear()
         for (job in openJobs) if (job.complete) job.dirtyPages.set(0)
     }
 
--- a/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
@@ -37,6 +37,19 @@
         assertTrue(r.rules.doneCount >= 30, "only ${r.rules.doneCount} jobs were told to be done")
     }
 
+    // 1453 and 1507: a new leader did not count the tasks of a cancelled job that were still on machines against the limit.
+    @ParameterizedTest
+    @ValueSource(longs = [1018, 1453, 1507])
+    fun `days that once broke a rule`(seed: Long) {
+        val r = Rehearsal(seed)
+        r.network.loss = 0.005
+        r.network.late = 0.005
+        r.begin(50, 150_000)
+        Troubles(r).draw(25, 10_000, 200_000)
+        r.world.runUntil(500_000)
+        assertEquals(emptyList<String>(), r.rules.violations)
+    }
+
     @Test
     fun `the same seed gives the same day`() {
         val a = day(Rehearsal(77), troubles = 10)
