--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -43,6 +43,7 @@
         settlement.onSettledMarker = dispatch::settled
         settlement.onMarked = ::startDirectly
         fleet.onGone = settlement::machineGone
+        fleet.reserve = placement::reserve
         jobs.onDone = door::finished
         jobs.onCancelled = { settlement.recorded(it, it.done) }
         log.source(jobs::nextUrgent)
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -109,7 +109,7 @@
     /** Machines that take new tasks: up, heard from at our token, neither draining nor about to be taken. */
     fun placeable(): List<Machine> = byName.values.filter { m ->
         m.state == Machine.State.UP && m.token >= generation && !m.draining && m.noticeAt == Machine.NEVER &&
-            desk.steady >= m.fullUntil && desk.steady - m.reportedAt < leaseMs / 2 && types.getOrNull(m.type) != null
+            !m.retiring && desk.steady >= m.fullUntil && desk.steady - m.reportedAt < leaseMs / 2 && types.getOrNull(m.type) != null
     }
 
     fun allows(job: OpenJob, type: Int, zone: Int, spot: Boolean): Boolean =
@@ -136,6 +136,7 @@
         if (!catalogBusy && (catalogAt == Machine.NEVER || leading && t - catalogAt > CATALOG_MS) && spend()) readCatalog()
         if (!leading || !catalogKnown) return
         if (!listBusy && t - listAt > LIST_MS && spend()) readList(null, HashSet())
+        retire(unplaced.isNotEmpty())
         if (changeBusy) return
         val rent = pendingRent
         if (rent != null) {
@@ -240,6 +241,35 @@
         return true
     }
 
+    private var waitedAt = Machine.NEVER
+    private var retiredAt = Machine.NEVER
+
+    /** Set by the controller: CPUs that are to stay free for urgent work. */
+    var reserve: () -> Double = { 0.0 }
+
+    /**
+     * When little is asked for, tasks spread thinly over machines that cost more than their like can be had for. One at a time
+     * those stop taking tasks, run dry and go; as soon as anything waits they are back in use.
+     */
+    private fun retire(waits: Boolean) {
+        val t = desk.steady
+        if (waits) {
+            waitedAt = t
+            for (m in byName.values) m.retiring = false
+            return
+        }
+        if (t - waitedAt < CALM_MS || t - retiredAt < RETIRE_EVERY_MS) return
+        val dear = placeable().filter { m ->
+            val type = types.getOrNull(m.type) ?: return@filter false
+            m.name !in base.names && priceOf(m.type, m.spot) > minOf(type.price, type.spotPrice)
+        }
+        val emptiest = dear.maxByOrNull { it.room(types).cpus } ?: return
+        val free = placeable().sumOf { if (it === emptiest) 0.0 else it.room(types).cpus }
+        if (free < reserve() * RESERVES_KEPT) return
+        emptiest.retiring = true
+        retiredAt = t
+    }
+
     private fun useless(m: Machine, t: Long): Boolean {
         val bootMs = (types.getOrNull(m.type)?.bootS ?: 60.0) * 1000
         return when {
@@ -247,6 +277,7 @@
             m.state == Machine.State.LOST -> t - m.lostAt > LOST_MS
             m.state == Machine.State.BOOTING -> m.attempts.isEmpty() && t - m.bornAt > bootMs * 4 + BOOT_SLACK_MS
             m.draining -> !m.busy
+            m.retiring && m.state == Machine.State.UP -> m.attempts.isEmpty()
             m.noticeAt != Machine.NEVER -> !m.busy && m.attempts.isEmpty()
             else -> false
         }
@@ -445,6 +476,9 @@
         const val LOST_MS = 45_000L
         const val BOOT_SLACK_MS = 10_000L
         const val SICK_JOBS = 2
+        const val CALM_MS = 3000L
+        const val RETIRE_EVERY_MS = 1500L
+        const val RESERVES_KEPT = 2.0
         const val MOST_DELETED = 100
         const val MOST_RENTED = 50
         const val RENT_RETRY_MS = 700L
--- a/src/main/kotlin/org/chalkhollow/core/Machine.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Machine.kt
@@ -45,6 +45,9 @@
     val failedJobs = IntOpenHashSet()
     var draining = false
 
+    /** Takes no new tasks while the others have room enough, so that it can be returned; see [Fleet]. */
+    var retiring = false
+
     /** As the cloud lists it. */
     var failed = false
     var listedStarting = false
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -68,7 +68,7 @@
     }
 
     /** CPUs that work which can wait leaves free for urgent work to come: as much as its jobs mostly take. */
-    private fun reserve(): Double = if (urgentSizes.isEmpty()) 0.0 else options.urgentReserve * urgentSizes.average()
+    fun reserve(): Double = if (urgentSizes.isEmpty()) 0.0 else options.urgentReserve * urgentSizes.average()
 
     private fun yields(job: OpenJob): Boolean =
         job.spec.priority >= Priority.STANDARD && !aims.startsCount(job) && !withinGuarantee(job) && !pressing(job, 0.0)
