--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -136,7 +136,7 @@
         if (!catalogBusy && (catalogAt == Machine.NEVER || leading && t - catalogAt > CATALOG_MS) && spend()) readCatalog()
         if (!leading || !catalogKnown) return
         if (!listBusy && t - listAt > LIST_MS && spend()) readList(null, HashSet())
-        retire(unplaced.any { it.pressing })
+        retire(unplaced.isNotEmpty())
         if (changeBusy) return
         val rent = pendingRent
         if (rent != null) {
