Preempt work of lower priority for urgent tasks

Cause: a tenth of the urgent starts found no CPU free at once. What saves its progress or has run less than 12 s is stopped on machines that hold the image; guaranteed work is not.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -3,6 +3,7 @@
 import org.chalkhollow.mesh.PeerMessage
 import org.chalkhollow.settings.OperatorSettings
 import org.chalkhollow.settings.PlatformSettings
+import org.chalkhollow.wire.Command
 import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.Row
 import org.chalkhollow.wire.WorkerCodec
@@ -41,7 +42,7 @@
 
     init {
         settlement.onSettledMarker = dispatch::settled
-        settlement.onMarked = ::startDirectly
+        settlement.onMarked = ::sendDirectly
         fleet.onGone = settlement::machineGone
         fleet.reserve = placement::reserve
         jobs.onDone = door::finished
@@ -189,7 +190,9 @@
     private fun place(room: StateLog.Room): Write? {
         if (!loaded || room.ops < 1 || desk.steady < roundAt || log.stalled()) return null
         roundAt = desk.steady + ROUND_MS
-        return dispatch.mark(placement.round(), room)
+        val allocations = placement.round()
+        for (m in placement.preempted) sendDirectly(m)
+        return dispatch.mark(allocations, room)
     }
 
     // Workers
@@ -220,12 +223,14 @@
         desk.answer(call, 200, WorkerCodec.commands(leadership.generation, commands))
     }
 
-    /** Starts whose marker has just become durable go straight to the worker; the next report's answer repeats them. */
-    private fun startDirectly(m: Machine) {
+    /** Stops, and starts whose marker has just become durable go straight to the worker; the next report's answer repeats them. */
+    private fun sendDirectly(m: Machine) {
         if (!leadership.entitled() || m.directBusy || m.address.isEmpty() || m.session == 0L) return
         if (m.token < leadership.generation || desk.steady - m.reportedAt > settings.reportS * 2000) return
         val starts = m.attempts.filter { it.phase == Attempt.Phase.MARKED && !it.job.cancelling && !it.job.cancelled }
-        if (starts.isEmpty()) return
+        val stops = m.attempts.filter { it.stopping && it.onMachine && it.stopSentAt == 0L }
+        if (starts.isEmpty() && stops.isEmpty()) return
+        for (a in stops) a.stopSentAt = desk.steady // once; answers to reports repeat it
         for (a in starts) {
             a.phase = Attempt.Phase.SENT
             a.directPending = true
@@ -233,7 +238,7 @@
         m.directBusy = true
         val inTerm = term
         val session = m.session
-        val commands = starts.map { org.chalkhollow.wire.Command.Start(it.job.spec.id, it.index, it.number) }
+        val commands = stops.map { settlement.stop(it) } + starts.map { Command.Start(it.job.spec.id, it.index, it.number) }
         desk.direct({ Effect.Direct(it, m.address, leadership.generation, session, commands) }) { reply ->
             if (term == inTerm) onDirect(m, session, starts, reply)
         }
@@ -256,7 +261,7 @@
             m.seq = report.seq
             settlement.reconcile(m, report, beat = false)
         }
-        if (m.attempts.any { it.phase == Attempt.Phase.MARKED }) startDirectly(m)
+        if (m.attempts.any { it.phase == Attempt.Phase.MARKED }) sendDirectly(m)
     }
 
     /**
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -4,6 +4,7 @@
 import org.chalkhollow.model.MachineType
 import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Shape
 import org.chalkhollow.settings.OperatorSettings
 
 /**
@@ -106,6 +107,8 @@
             }
         }
         unplaced = left
+        preempted.clear()
+        for (u in left) preemptFor(u)
         return out
     }
 
@@ -138,6 +141,32 @@
         return desk.now.wall + (waitS + job.spec.expectedS * LATE_FACTOR) * 1000 > due
     }
 
+    /** Machines on which this round decided to stop tasks. */
+    val preempted = LinkedHashSet<Machine>()
+
+    /**
+     * Stops work of lower priority for urgent tasks whose start is still in time, on machines that hold their image: what saves
+     * its progress, or else what has hardly begun. No other work is preempted.
+     */
+    private fun preemptFor(u: Unplaced) {
+        val job = u.job
+        if (!aims.startable(job, desk.now.wall) || job.spec.priority > Priority.HIGH || job.gang) return
+        val places = fleet.placeable().filter { allowed(job, it) && !fetches(job, it) && it.spot <= job.spec.spotAllowed }
+        var need = u.count * job.each.cpus - places.sumOf { m -> m.attempts.sumOf { if (it.stopping && it.onMachine) it.job.each.cpus else 0.0 } }
+        val victims = places.flatMap { it.attempts }.filter { mayStop(it, job) }
+            .sortedWith(compareBy({ if (it.job.spec.checkpointS > 0) 0 else 1 }, { -it.placedAt }, { it.machine.id }, { it.index }))
+        for (v in victims) {
+            if (need <= 0) break
+            v.stopping = true
+            need -= v.job.each.cpus
+            preempted.add(v.machine)
+        }
+    }
+
+    private fun mayStop(a: Attempt, by: OpenJob): Boolean =
+        a.job.spec.priority > by.spec.priority && a.job.spec.shape == Shape.ARRAY && !withinGuarantee(a.job) && a.onMachine && !a.stopping &&
+            (a.job.spec.checkpointS > 0 || desk.steady - a.placedAt < YOUNG_MS)
+
     private fun headroom(job: OpenJob, given: Map<Int, Double>, givenCards: Map<Int, Double>): Int {
         val extra = Resources(given[job.team] ?: 0.0, givenCards[job.team] ?: 0.0, 0.0)
         return quotas.headroom(job.team, job.each, extra)
@@ -244,6 +273,7 @@
     }
 
     companion object {
+        private const val YOUNG_MS = 12_000L
         private const val SIZES_KEPT = 50
         private const val SCARCE_MS = 300_000L
         private const val PATIENCE_MS = 30_000L
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -226,7 +226,7 @@
                 Attempt.Phase.SENT -> if (a.directPending && !a.inherited && !unwanted && startsAllowed) out.add(Command.Start(id, a.index, a.number))
                 Attempt.Phase.EXITED -> if (a.forgettable && !a.directPending) out.add(Command.Forget(id, a.index, a.number))
                 else -> if (unwanted) out.add(Command.Stop(id, a.index, a.number, 0.0))
-                else if (a.stopping) out.add(Command.Stop(id, a.index, a.number, a.job.spec.saveS + GRACE_S))
+                else if (a.stopping) out.add(stop(a))
             }
         }
         for (t in m.orphans) {
@@ -237,6 +237,9 @@
         return out
     }
 
+    /** Stops a task so that it saves its progress if it can. */
+    fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, a.job.spec.saveS + GRACE_S)
+
     private fun key(job: Int, index: Int): Long = (job.toLong() shl 20) + index
 
     private companion object {
--- a/src/main/kotlin/org/chalkhollow/settings/OperatorSettings.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/OperatorSettings.kt
@@ -20,7 +20,7 @@
     /** What idle rented machines may cost, as a share of what the operator's own machines cost. */
     val standbyShare: Double = 1.0,
     /** Room left free for classes whose users wait for starts, in multiples of the mean size of their jobs. */
-    val urgentReserve: Double = 2.0,
+    val urgentReserve: Double = 1.0,
     /** Idle rented machines that are kept for work to come. */
     val spareMachines: Int = 0,
     /** Most machines that may be rented at once. */
