--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -38,6 +38,7 @@
     private var term = 0
     private var fleetAt = 0L
     private var roundAt = 0L
+    private var changesPlaced = -1L
     private var generationRaisedAt = start.steady
 
     init {
@@ -100,7 +101,7 @@
             fleetAt = desk.steady + FLEET_MS
             fleet.tick(leading && leadership.entitled(), placement.unplaced, base.known && desk.steady - leadAt > settings.reportS * 2000)
         }
-        desk.emit(Effect.Timer(desk.steady + TICK_MS))
+        desk.emit(Effect.Timer(desk.steady + if (leadership.role == Leadership.Role.FOLLOWER) FOLLOWER_TICK_MS else TICK_MS))
     }
 
     private fun onPeer(input: Input.Peer) {
@@ -189,9 +190,13 @@
     /** One placement round as part of the next transaction: its marker is written before any start is sent. */
     private fun place(room: StateLog.Room): Write? {
         if (!loaded || room.ops < 1 || desk.steady < roundAt || log.stalled()) return null
+        // Rounds cost processor time, of which there is little: without a change they wait for the clock.
+        if (desk.changes == changesPlaced && desk.steady < roundAt + IDLE_ROUND_MS) return null
+        changesPlaced = desk.changes
         roundAt = desk.steady + ROUND_MS
         val allocations = placement.round()
         for (m in placement.preempted) sendDirectly(m)
+        if (allocations.isNotEmpty()) desk.changed() // what did not fit into this transaction comes with the next
         return dispatch.mark(allocations, room)
     }
 
@@ -285,8 +290,10 @@
 
     private companion object {
         const val TICK_MS = 100L
+        const val FOLLOWER_TICK_MS = 150L
         const val FLEET_MS = 500L
         const val ROUND_MS = 100L
+        const val IDLE_ROUND_MS = 900L
         const val UP_MS = 6000L
         const val LOAD_RETRY_MS = 250L
         const val RAISE_MS = 20_000L
--- a/src/main/kotlin/org/chalkhollow/core/Desk.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Desk.kt
@@ -14,6 +14,14 @@
     private val directWaits = Int2ObjectHashMap<(DirectReply) -> Unit>()
     private var nextTicket = 1
 
+    /** Counts changes after which a placement round may find what the one before did not. */
+    var changes = 0L
+        private set
+
+    fun changed() {
+        changes++
+    }
+
     val steady: Long get() = now.steady
 
     fun drain(): List<Effect> = effects.also { effects = ArrayList() }
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -92,6 +92,7 @@
             m.images.clear()
             m.held.clear()
         }
+        if (m.state != Machine.State.UP || m.token < generation && report.token >= generation) desk.changed()
         m.state = Machine.State.UP
         m.reportedAt = desk.steady
         m.token = maxOf(m.token, report.token)
--- a/src/main/kotlin/org/chalkhollow/core/JobTable.kt
+++ b/src/main/kotlin/org/chalkhollow/core/JobTable.kt
@@ -66,6 +66,7 @@
         describe(entry, spec, wall).also {
             entry.open = it
             openJobs.add(it)
+            desk.changed()
         }
 
     private fun describe(entry: JobEntry, spec: JobSpec, wall: Long): OpenJob {
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -75,6 +75,9 @@
         job.spec.priority >= Priority.STANDARD && !aims.startsCount(job) && !withinGuarantee(job) && !pressing(job, 0.0)
 
     fun round(): List<Allocation> {
+        preempted.clear()
+        unplaced = emptyList()
+        if (jobs.open.none { it.placeable }) return emptyList()
         rooms.clear()
         lookForScarceTypes()
         findGuaranteed()
@@ -107,7 +110,6 @@
             }
         }
         unplaced = left
-        preempted.clear()
         for (u in left) preemptFor(u)
         return out
     }
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -63,6 +63,7 @@
     private fun release(a: Attempt) {
         if (a.onMachine && a.phase != Attempt.Phase.FETCHING) a.job.running--
         quotas.remove(a.job.team, a.job.each)
+        desk.changed()
         a.job.released(a.index)
     }
 
