--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -147,15 +147,18 @@
     val preempted = LinkedHashSet<Machine>()
 
     /**
-     * Stops work of lower priority for urgent tasks whose start is still in time, on machines that hold their image: what saves
-     * its progress, or else what has hardly begun. No other work is preempted.
+     * Stops work for tasks whose start is still in time, on machines that hold their image: work of lower priority for urgent
+     * tasks, and what other teams run beyond their guarantees for tasks within one. Only what saves its progress or has hardly
+     * begun is stopped, and no other work is preempted.
      */
     private fun preemptFor(u: Unplaced) {
         val job = u.job
-        if (!aims.startable(job, desk.now.wall) || job.spec.priority > Priority.HIGH || job.gang) return
+        val urgent = aims.startable(job, desk.now.wall) && job.spec.priority <= Priority.HIGH
+        val owed = withinGuarantee(job) && aims.freshGuarantee(job, desk.now.wall)
+        if (!urgent && !owed || job.gang) return
         val places = fleet.placeable().filter { allowed(job, it) && !fetches(job, it) && it.spot <= job.spec.spotAllowed }
         var need = u.count * job.each.cpus - places.sumOf { m -> m.attempts.sumOf { if (it.stopping && it.onMachine) it.job.each.cpus else 0.0 } }
-        val victims = places.flatMap { it.attempts }.filter { mayStop(it, job) }
+        val victims = places.flatMap { it.attempts }.filter { mayStop(it, job, urgent, owed) }
             .sortedWith(compareBy({ if (it.job.spec.checkpointS > 0) 0 else 1 }, { -it.placedAt }, { it.machine.id }, { it.index }))
         for (v in victims) {
             if (need <= 0) break
@@ -165,9 +168,12 @@
         }
     }
 
-    private fun mayStop(a: Attempt, by: OpenJob): Boolean =
-        a.job.spec.priority > by.spec.priority && a.job.spec.shape == Shape.ARRAY && !withinGuarantee(a.job) && a.onMachine && !a.stopping &&
-            (a.job.spec.checkpointS > 0 || desk.steady - a.placedAt < YOUNG_MS)
+    private fun mayStop(a: Attempt, by: OpenJob, urgent: Boolean, owed: Boolean): Boolean {
+        if (a.job.spec.shape != Shape.ARRAY || withinGuarantee(a.job) || !a.onMachine || a.stopping) return false
+        val lower = urgent && a.job.spec.priority > by.spec.priority
+        val borrowed = owed && a.job.team != by.team && a.job.spec.priority >= by.spec.priority && quotas.beyond(a.job.team)
+        return (lower || borrowed) && (a.job.spec.checkpointS > 0 || desk.steady - a.placedAt < YOUNG_MS)
+    }
 
     private fun headroom(job: OpenJob, given: Map<Int, Double>, givenCards: Map<Int, Double>): Int {
         val extra = Resources(given[job.team] ?: 0.0, givenCards[job.team] ?: 0.0, 0.0)
