--- a/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
@@ -57,6 +57,20 @@
         assertEquals(a.rules.starts to a.rules.completions, b.rules.starts to b.rules.completions)
     }
 
+    // The stand-in for the state service checks every value's and transaction's size.
+    @Test
+    fun `an array of 100,000 tasks keeps to the state service's limits, also across leaders`() {
+        val r = Rehearsal(5)
+        r.begin(3, 10_000)
+        r.world.after(6000) {
+            r.users.submit { it.copy(tasks = 100_000, expectedS = 0.5, types = null, zone = null, together = false, spread = false, spotAllowed = true) }
+        }
+        r.world.after(40_000) { r.nodes.filter { it.leads }.forEach { it.crash() } }
+        r.world.runUntil(90_000)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertTrue(r.rules.completions > 200, "only ${r.rules.completions} tasks were completed")
+    }
+
     // The checks can fail: each test below breaks one guard and must see a rule broken.
 
     private fun violations(make: (Long) -> Rehearsal): Set<String> {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
@@ -25,6 +25,14 @@
         if (world.chance(0.12)) world.after(world.between(500, 30_000)) { withdraw(spec.id, 0) }
     }
 
+    /** Submits a drawn job after [change], and returns its id. */
+    fun submit(change: (JobSpec) -> JobSpec): String {
+        val spec = change(draw())
+        specs[spec.id] = spec
+        submit(spec, 0)
+        return spec.id
+    }
+
     private fun draw(): JobSpec {
         val id = "j-" + (world.random.nextInt(1_000_000)).toString().padStart(6, '0') + (next++)
         val zone = if (world.chance(0.1)) rehearsal.zones[world.random.nextInt(2)] else null
