--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.runtime
 
 import com.google.common.cache.CacheBuilder
+import com.google.common.util.concurrent.RateLimiter
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -38,6 +39,10 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val controller = Controller(settings, options, incarnation, now())
     private val meters = Meters()
+
+    /** Bounds how often malformed messages are logged; the meters count them all. */
+    @Suppress("UnstableApiUsage")
+    private val complaints = RateLimiter.create(COMPLAINTS_PER_S)
     private val state = StateClient(HttpLink(scope, selector, settings.state, STATE_BODY, 4), settings.stateLimits.rps * 0.5)
     private val cloud = CloudClient(HttpLink(scope, selector, settings.cloud, STATE_BODY, 2))
     private val workerLinks = CacheBuilder.newBuilder().maximumSize(MAX_WORKER_LINKS)
@@ -129,6 +134,7 @@
             WorkerCodec.report(body)
         } catch (e: Malformed) {
             meters.malformed()
+            if (complaints.tryAcquire()) log.warn("a worker's report is malformed: {}", e.message)
             return HttpReply(400, null)
         }
         return call { Input.Report(it, report) }
@@ -178,6 +184,7 @@
         const val WORKER_BODY = 256 * 1024
         const val MAX_WORKER_LINKS = 200L
         const val MAX_CALLS = 2000
+        const val COMPLAINTS_PER_S = 0.2
         fun steady(): Long = System.nanoTime() / 1_000_000
         fun now(): Now = Now(steady(), System.currentTimeMillis())
     }
--- a/src/main/kotlin/org/chalkhollow/settings/OperatorText.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/OperatorText.kt
@@ -47,7 +47,7 @@
         try {
             TextFormat.getParser().merge(text, builder)
         } catch (e: TextFormat.ParseException) {
-            throw BadSettings("$source: line ${e.line}, column ${e.column}: ${e.message?.substringAfter(": ")}")
+            throw BadSettings("$source: line ${e.line}, column ${e.column}: ${oneLine(e)}")
         }
         val d = OperatorSettings()
         fun <T> read(name: String, default: T, convert: (Number) -> T): T = value(builder, name, source)?.let(convert) ?: default
@@ -67,6 +67,9 @@
         return s
     }
 
+    private fun oneLine(e: TextFormat.ParseException): String =
+        e.message.orEmpty().substringAfter(": ").lines().joinToString(" ") { it.trim() }
+
     private fun value(message: DynamicMessage.Builder, name: String, source: String): Number? {
         val field = message.descriptorForType.findFieldByName(name)
         if (!message.hasField(field)) return null
--- a/src/test/kotlin/org/chalkhollow/settings/SettingsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/settings/SettingsTest.kt
@@ -38,6 +38,7 @@
         assertEquals(OperatorSettings(), OperatorText.parse("# nothing\n", "o"))
         assertEquals(30.0, OperatorText.parse("idle_return_s: 30\nsample_size: 4", "o").idleReturnS)
         val unknown = assertThrows(BadSettings::class.java) { OperatorText.parse("sample_size: 4\n  colour: 3", "o") }
+        assertTrue('\n' !in unknown.message.orEmpty())
         assertTrue("line 2, column 3" in unknown.message.orEmpty(), unknown.message)
         assertThrows(BadSettings::class.java) { OperatorText.parse("sample_size: 0", "o") }
         assertThrows(BadSettings::class.java) { OperatorText.parse("leader_renew_ms: 1900", "o") }
