--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/Main.kt
@@ -0,0 +1,91 @@
+package org.chalkhollow
+
+import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.versionOption
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import org.chalkhollow.runtime.Node
+import org.chalkhollow.runtime.WarmUp
+import org.chalkhollow.settings.BadSettings
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.OperatorText
+import org.chalkhollow.settings.PlatformSettings
+import java.nio.file.Path
+import java.util.concurrent.Executors
+
+/** The command line. */
+class Chalkhollow : CoreCliktCommand(name = "chalkhollow") {
+    private val config by option("--config", metavar = "FILE", help = "the platform's settings, JSON")
+    private val operator by option("--operator-settings", metavar = "FILE", help = "operators' own settings, protobuf text format")
+    private val check by option("--check", help = "check the settings and exit").flag()
+    private val warmUp by option("--warm-up", help = "load what a start needs and exit; used by the build", hidden = true).flag()
+
+    init {
+        versionOption(Chalkhollow::class.java.`package`?.implementationVersion ?: "development")
+    }
+
+    override fun help(context: Context) = "Schedules jobs on rented machines, as one of several controllers."
+
+    override fun run() {
+        if (warmUp) return WarmUp.run()
+        val path = config ?: throw CliktError("missing option --config", statusCode = BAD_SETTINGS)
+        val (platform, own) = try {
+            PlatformSettings.load(Path.of(path)) to (operator?.let { OperatorText.load(Path.of(it)) } ?: OperatorSettings())
+        } catch (e: BadSettings) {
+            throw CliktError(e.message, statusCode = BAD_SETTINGS)
+        }
+        if (check) return echo("$path: good")
+        serve(platform, own)
+    }
+
+    private fun serve(platform: PlatformSettings, own: OperatorSettings): Unit = runBlocking {
+        val thread = Executors.newSingleThreadExecutor { Thread(it, "controller") }
+        val scope = CoroutineScope(SupervisorJob() + thread.asCoroutineDispatcher())
+        val incarnation = (System.currentTimeMillis() shl 20 or (System.nanoTime() and 0xfffff)) and Long.MAX_VALUE
+        val failure = scope.async { startOrFail(scope, platform, own, incarnation) }.await()
+        if (failure != null) {
+            System.err.println("chalkhollow: $failure")
+            System.err.flush()
+            Runtime.getRuntime().halt(1)
+        }
+        awaitCancellation()
+    }
+
+    private suspend fun startOrFail(scope: CoroutineScope, platform: PlatformSettings, own: OperatorSettings, life: Long): String? = try {
+        Node(scope, platform, own, life).start()
+        null
+    } catch (e: java.io.IOException) {
+        e.message ?: "cannot start"
+    }
+
+    private companion object {
+        const val BAD_SETTINGS = 2
+    }
+}
+
+/** Sets logging up from `LOG_LEVEL` before the first logger is made. */
+private fun setUpLogging() {
+    val level = when (System.getenv("LOG_LEVEL")?.lowercase()) {
+        "error" -> "error"
+        "debug" -> "debug"
+        else -> "info"
+    }
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
+    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSSXXX")
+}
+
+fun main(args: Array<String>) {
+    setUpLogging()
+    Chalkhollow().main(args)
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -0,0 +1,280 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.PlatformSettings
+import org.chalkhollow.wire.Malformed
+import org.chalkhollow.wire.Row
+import org.chalkhollow.wire.WorkerCodec
+import org.chalkhollow.wire.WorkerReport
+
+/**
+ * A controller as a pure state machine: an input at a moment in, effects out. It has no clock, does no I/O, and two
+ * controllers given the same inputs and seed do the same.
+ */
+class Controller(
+    private val settings: PlatformSettings,
+    options: OperatorSettings,
+    incarnation: Long,
+    start: Now,
+) : Leadership.Events {
+    private val desk = Desk(incarnation).also { it.now = start }
+    private val names = Names().apply { settings.teams.forEach { teams.intern(it.name) } }
+    private val peerLabels = settings.peers.map { it.label }
+    private val leadership = Leadership(desk, settings.label, peerLabels, incarnation, options, start.steady, this)
+    private val log = StateLog(desk, settings.stateLimits, options, leadership)
+    private val jobs = JobTable(desk, names, settings.stateLimits)
+    private val quotas = Quotas(settings.teams)
+    private val settlement = Settlement(desk, jobs, quotas) { leadership.generation }
+    private val fleet = Fleet(desk, names, settings, options, settings.label)
+    private val dispatch = DispatchLog(desk, settings.stateLimits, settlement, fleet)
+    private val placement = Placement(desk, jobs, quotas, fleet, options)
+    private val door = Door(desk, leadership, log, jobs, quotas, fleet, names)
+    private val incarnationId = incarnation
+    private var loaded = false
+    private var term = 0
+    private var fleetAt = 0L
+    private var roundAt = 0L
+    private var generationRaisedAt = start.steady
+
+    init {
+        settlement.onSettledMarker = dispatch::settled
+        settlement.onMarked = ::startDirectly
+        fleet.onGone = settlement::machineGone
+        jobs.onDone = door::finished
+        jobs.onCancelled = { settlement.recorded(it, it.done) }
+        log.source(jobs::nextUrgent)
+        log.source(::place)
+        log.source { room -> jobs.nextCompletion(room, settlement::recorded) }
+        log.source(dispatch::nextTrash)
+        log.source(jobs::nextTrash)
+    }
+
+    /** For gauges. */
+    val view: View get() = View(leadership.entitled(), leadership.generation, jobs.open.size, jobs.size, fleet.machines.size)
+
+    data class View(val leading: Boolean, val generation: Long, val openJobs: Int, val jobs: Int, val machines: Int)
+
+    /** Whether users may be sent here: this controller leads, or has lately heard from who does. */
+    fun takesRequests(now: Now): Boolean {
+        desk.now = now
+        return leadership.inTouch(UP_MS)
+    }
+
+    /** Takes one input and returns what is to be done about it. */
+    fun step(now: Now, input: Input): List<Effect> {
+        desk.now = now
+        when (input) {
+            Input.Tick -> tick()
+            is Input.User -> door.ask(input.call, input.ask)
+            is Input.Report -> onReport(input.call, input.report)
+            is Input.State -> desk.reply(input)
+            is Input.Cloud -> desk.reply(input)
+            is Input.Direct -> desk.reply(input)
+            is Input.Peer -> onPeer(input)
+        }
+        if (leadership.role == Leadership.Role.LEADER) log.pump()
+        return desk.drain()
+    }
+
+    private fun tick() {
+        leadership.tick()
+        door.tick()
+        val load = retryLoad
+        if (load != null && desk.steady >= retryLoadAt) {
+            retryLoad = null
+            load()
+        }
+        val leading = leadership.role == Leadership.Role.LEADER && loaded
+        if (leading && leadership.entitled()) {
+            fleet.lapse()
+            raiseGenerationIfNeeded()
+        }
+        if (desk.steady >= fleetAt) {
+            fleetAt = desk.steady + FLEET_MS
+            fleet.tick(leading && leadership.entitled(), placement.unplaced, desk.steady - leadAt > settings.reportS * 2000)
+        }
+        desk.emit(Effect.Timer(desk.steady + TICK_MS))
+    }
+
+    private fun onPeer(input: Input.Peer) {
+        when (val m = input.message) {
+            is PeerMessage.Forward -> door.onForward(input.from, m)
+            is PeerMessage.Forwarded -> door.onForwarded(m)
+            else -> leadership.onPeer(input.from, m)
+        }
+    }
+
+    // Leading
+
+    private var leadAt = 0L
+
+    override fun onElected(generation: Long, stamp: Long, writes: Long) {
+        term++
+        loaded = false
+        leadAt = desk.steady
+        retryLoad = null
+        jobs.clear()
+        quotas.clear()
+        settlement.clear()
+        fleet.start(generation)
+        dispatch.start(generation)
+        log.start(LeadRecord(settings.label, incarnationId, generation, writes), stamp)
+        load(JobTable.JOB, null) { load(JobTable.PROGRESS, null) { load(DispatchLog.MARK, null, ::rebuilt) } }
+    }
+
+    override fun onDeposed() {
+        term++
+        loaded = false
+        retryLoad = null
+        log.stop()
+        door.close()
+    }
+
+    private fun load(prefix: String, after: String?, then: () -> Unit) {
+        val inTerm = term
+        desk.state(StateOp.List(prefix, after)) { reply ->
+            if (term != inTerm) return@state
+            if (reply !is StateReply.Page) {
+                // Ask again with the next tick of the leader's life; until then nothing is placed or answered.
+                retryLoad = { load(prefix, after, then) }
+                retryLoadAt = desk.steady + LOAD_RETRY_MS
+                return@state
+            }
+            reply.rows.rows.forEach(::take)
+            val last = reply.rows.rows.lastOrNull()?.key
+            if (reply.rows.more && last != null) load(prefix, last, then) else then()
+        }
+    }
+
+    private var retryLoad: (() -> Unit)? = null
+    private var retryLoadAt = 0L
+
+    private fun take(row: Row) {
+        try {
+            when {
+                row.key.startsWith(JobTable.JOB) -> jobs.loadJob(row)
+                row.key.startsWith(JobTable.PROGRESS) -> jobs.loadPage(row)
+                else -> dispatch.load(row, jobs)
+            }
+            log.seen(row.key, row.stamp)
+        } catch (e: Malformed) {
+            desk.emit(Effect.Note(Effect.Level.ERROR, "unreadable record ${row.key}: ${e.message}"))
+        }
+    }
+
+    private fun rebuilt() {
+        jobs.afterLoad()
+        loaded = true
+        leadership.ready = true
+        door.open = true
+        desk.info("rebuilt ${jobs.size} jobs (${jobs.open.size} open), ${fleet.machines.sumOf { it.attempts.size }} attempts in doubt")
+        for (m in fleet.machines) {
+            val early = m.early ?: continue
+            m.early = null
+            settlement.reconcile(m, early, beat = true)
+        }
+    }
+
+    /** One placement round as part of the next transaction: its marker is written before any start is sent. */
+    private fun place(room: StateLog.Room): Write? {
+        if (!loaded || room.ops < 1 || desk.steady < roundAt || log.stalled()) return null
+        roundAt = desk.steady + ROUND_MS
+        return dispatch.mark(placement.round(), room)
+    }
+
+    // Workers
+
+    private fun onReport(call: Int, report: WorkerReport) {
+        if (!leadership.entitled()) {
+            val leader = leadership.reachableLeader()
+            if (leader >= 0) desk.answer(call, 421, WorkerCodec.redirect(peerLabels[leader])) else desk.answer(call, 503)
+            return
+        }
+        val m = fleet.observe(report)
+        if (m == null) {
+            desk.answer(call, 503)
+            return
+        }
+        // The worker's lease runs from when it sent this report, which is not after now.
+        m.answeredAt = desk.steady
+        val newer = report.seq > m.seq
+        if (newer) m.seq = report.seq
+        if (!loaded) {
+            if (newer) m.early = report
+            desk.answer(call, 200, WorkerCodec.commands(leadership.generation, emptyList()))
+            return
+        }
+        if (newer) settlement.reconcile(m, report, beat = true)
+        val commands = settlement.commands(m, startsAllowed = newer)
+        desk.answer(call, 200, WorkerCodec.commands(leadership.generation, commands))
+    }
+
+    /** Starts whose marker has just become durable go straight to the worker; the next report's answer repeats them. */
+    private fun startDirectly(m: Machine) {
+        if (!leadership.entitled() || m.directBusy || m.address.isEmpty() || m.session == 0L) return
+        if (m.token < leadership.generation || desk.steady - m.reportedAt > settings.reportS * 2000) return
+        val starts = m.attempts.filter { it.phase == Attempt.Phase.MARKED && !it.job.cancelling && !it.job.cancelled }
+        if (starts.isEmpty()) return
+        for (a in starts) {
+            a.phase = Attempt.Phase.SENT
+            a.directPending = true
+        }
+        m.directBusy = true
+        val inTerm = term
+        val session = m.session
+        val commands = starts.map { org.chalkhollow.wire.Command.Start(it.job.spec.id, it.index, it.number) }
+        desk.direct({ Effect.Direct(it, m.address, leadership.generation, session, commands) }) { reply ->
+            if (term == inTerm) onDirect(m, session, starts, reply)
+        }
+    }
+
+    private fun onDirect(m: Machine, session: Long, starts: List<Attempt>, reply: DirectReply) {
+        m.directBusy = false
+        if (reply is DirectReply.NoResponse) return // it may still be executed: see raiseGenerationIfNeeded
+        for (a in starts) a.directPending = false
+        val report = when (reply) {
+            is DirectReply.Executed -> reply.report
+            is DirectReply.Refused -> reply.report
+            else -> null
+        }
+        if (report == null || reply is DirectReply.Refused) {
+            for (a in starts) if (a.phase == Attempt.Phase.SENT && !a.settled) a.phase = Attempt.Phase.MARKED
+            return
+        }
+        if (report.session == session && m.session == session && report.seq > m.seq && report.machine == m.name) {
+            m.seq = report.seq
+            settlement.reconcile(m, report, beat = false)
+        }
+        if (m.attempts.any { it.phase == Attempt.Phase.MARKED }) startDirectly(m)
+    }
+
+    /**
+     * A direct start without an answer may be executed as long as our token holds. When something waits for its fate, the
+     * generation is raised: no worker that has seen the new token obeys the old one.
+     */
+    private fun raiseGenerationIfNeeded() {
+        val t = desk.steady
+        if (dispatch.exhausted) return leadership.depose("attempt numbers are used up")
+        if (t - generationRaisedAt < RAISE_MS) return
+        val stuck = fleet.machines.any { m ->
+            m.state == Machine.State.UP && m.attempts.any {
+                it.directPending && t - it.since > STUCK_MS &&
+                    (it.phase == Attempt.Phase.SENT && it.job.cancelled || it.phase == Attempt.Phase.EXITED && it.forgettable)
+            }
+        }
+        if (!stuck) return
+        generationRaisedAt = t
+        leadership.depose("raising the generation to settle direct starts without an answer")
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+        const val FLEET_MS = 500L
+        const val ROUND_MS = 100L
+        const val UP_MS = 6000L
+        const val LOAD_RETRY_MS = 250L
+        const val RAISE_MS = 20_000L
+        const val STUCK_MS = 6000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Desk.kt
@@ -0,0 +1,54 @@
+package org.chalkhollow.core
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import org.chalkhollow.wire.Pack
+import java.util.SplittableRandom
+
+/** What the owners within a controller share: the moment, the effects so far, tickets for replies, and a seeded random. */
+class Desk(seed: Long) {
+    var now = Now(0, 0)
+    val random = SplittableRandom(seed)
+    private var effects = ArrayList<Effect>()
+    private val stateWaits = Int2ObjectOpenHashMap<(StateReply) -> Unit>()
+    private val cloudWaits = Int2ObjectOpenHashMap<(CloudReply) -> Unit>()
+    private val directWaits = Int2ObjectOpenHashMap<(DirectReply) -> Unit>()
+    private var nextTicket = 1
+
+    val steady: Long get() = now.steady
+
+    fun drain(): List<Effect> = effects.also { effects = ArrayList() }
+
+    fun emit(effect: Effect) {
+        effects.add(effect)
+    }
+
+    fun state(op: StateOp, then: (StateReply) -> Unit) {
+        stateWaits.put(nextTicket, then)
+        emit(Effect.State(nextTicket++, op))
+    }
+
+    fun cloud(op: CloudOp, then: (CloudReply) -> Unit) {
+        cloudWaits.put(nextTicket, then)
+        emit(Effect.Cloud(nextTicket++, op))
+    }
+
+    fun direct(make: (Int) -> Effect.Direct, then: (DirectReply) -> Unit) {
+        directWaits.put(nextTicket, then)
+        emit(make(nextTicket++))
+    }
+
+    fun reply(input: Input.State) = stateWaits.remove(input.ticket)?.invoke(input.reply)
+
+    fun reply(input: Input.Cloud) = cloudWaits.remove(input.ticket)?.invoke(input.reply)
+
+    fun reply(input: Input.Direct) = directWaits.remove(input.ticket)?.invoke(input.reply)
+
+    fun info(text: String) = emit(Effect.Note(Effect.Level.INFO, text))
+
+    fun debug(text: String) = emit(Effect.Note(Effect.Level.DEBUG, text))
+
+    fun warn(text: String) = emit(Effect.Note(Effect.Level.WARN, text))
+
+    fun answer(call: Int, status: Int, body: Map<String, Any?>? = null, retryAfterS: Int = 0) =
+        emit(Effect.Answer(call, status, body?.let(Pack::encode), retryAfterS))
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
@@ -0,0 +1,135 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.settings.StateLimits
+import org.chalkhollow.wire.Change
+import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Malformed
+import org.chalkhollow.wire.Row
+
+/** Tasks of one job that a placement round gives to one machine. */
+class Allocation(val job: OpenJob, val machine: Machine, val tasks: IntArray)
+
+/**
+ * Owns the dispatch markers. A round's attempts are written down, as job, machine and index ranges in one value, before any
+ * of them is started; a marker is removed once all of its attempts are settled.
+ */
+class DispatchLog(
+    private val desk: Desk,
+    private val limits: StateLimits,
+    private val settlement: Settlement,
+    private val fleet: Fleet,
+) {
+    private val trash = ArrayDeque<String>()
+    private var generation = 0L
+    private var round = 0L
+
+    /** Attempt numbers of this generation are used up; the next generation has new ones. */
+    val exhausted: Boolean get() = round >= ROUNDS - 1
+
+    fun start(newGeneration: Long) {
+        generation = newGeneration
+        round = 0
+        trash.clear()
+    }
+
+    /** The markers of a round: at most [StateLog.Room.ops] values; what does not fit stays ready for the next round. */
+    fun mark(allocations: List<Allocation>, room: StateLog.Room): Write? {
+        val changes = ArrayList<Change>()
+        val attempts = ArrayList<Attempt>()
+        val markers = ArrayList<Marker>()
+        var rows = ArrayList<Any?>()
+        var size = BASE_BYTES
+        var total = 0
+        var marker: Marker? = null
+        fun seal() {
+            val m = marker ?: return
+            changes.add(Change(m.key, mapOf("n" to m.number, "a" to rows)))
+            rows = ArrayList()
+            size = BASE_BYTES
+            marker = null
+        }
+        for (allocation in allocations) {
+            val row = listOf(allocation.job.spec.id, allocation.machine.name, ranges(allocation.tasks))
+            val rowSize = Sizes.of(row) + 2
+            if (rowSize + BASE_BYTES > limits.valueBytes) continue
+            if (marker != null && size + rowSize > limits.valueBytes) seal()
+            if (total + rowSize + BASE_BYTES > room.bytes) break
+            if (marker == null && (changes.size >= room.ops || exhausted)) break
+            val m = marker ?: nextMarker().also { marker = it; markers.add(it) }
+            rows.add(row)
+            size += rowSize
+            total += rowSize
+            for (index in allocation.tasks) {
+                attempts.add(settlement.reserve(allocation.job, index, m.number, allocation.machine, m))
+            }
+        }
+        seal()
+        if (changes.isEmpty()) return null
+        return Write(changes) {
+            for (m in markers) m.durable = true
+            settlement.marked(attempts)
+        }
+    }
+
+    private fun nextMarker(): Marker {
+        round++
+        return Marker(MARK + generation.toString().padStart(12, '0') + "/" + round, generation * ROUNDS + round)
+    }
+
+    /** One of [marker]'s attempts is settled and needs it no more. */
+    fun settled(marker: Marker) {
+        if (--marker.outstanding == 0) trash.add(marker.key)
+    }
+
+    fun nextTrash(room: StateLog.Room): Write? {
+        if (room.ops < 1) return null
+        val key = trash.removeFirstOrNull() ?: return null
+        return Write(listOf(Change(key, null))) {}
+    }
+
+    /** Takes in an earlier leader's marker: its attempts are in doubt until their machines tell, or are gone. */
+    fun load(row: Row, jobs: JobTable) {
+        val f = Fields.of(row.value, row.key)
+        val marker = Marker(row.key, f.long("n"))
+        marker.durable = true
+        marker.outstanding = 1 // held until the whole marker is read
+        for (item in f.list("a")) {
+            val parts = item as? List<*> ?: throw Malformed("${row.key} is not a marker")
+            val job = jobs.find(parts[0].toString())?.open ?: continue
+            val machine = fleet.known(parts[1].toString())
+            for (index in indices(parts[2].toString())) {
+                if (index >= job.spec.tasks || job.done.get(index)) continue
+                val attempt = settlement.reserve(job, index, marker.number, machine, marker)
+                attempt.inherited = true
+                attempt.phase = Attempt.Phase.SENT
+            }
+        }
+        settled(marker)
+    }
+
+    companion object {
+        const val MARK = "mark/"
+        private const val ROUNDS = 1L shl 16
+        private const val BASE_BYTES = 160
+
+        /** `0-3,7` for 0, 1, 2, 3 and 7. */
+        fun ranges(sorted: IntArray): String {
+            val text = StringBuilder()
+            var i = 0
+            while (i < sorted.size) {
+                var j = i
+                while (j + 1 < sorted.size && sorted[j + 1] == sorted[j] + 1) j++
+                if (text.isNotEmpty()) text.append(',')
+                text.append(sorted[i])
+                if (j > i) text.append('-').append(sorted[j])
+                i = j + 1
+            }
+            return text.toString()
+        }
+
+        fun indices(ranges: String): List<Int> = ranges.split(',').flatMap { part ->
+            val dash = part.indexOf('-')
+            if (dash < 0) listOf(part.toInt()) else (part.substring(0, dash).toInt()..part.substring(dash + 1).toInt()).toList()
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Door.kt
@@ -0,0 +1,205 @@
+package org.chalkhollow.core
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.JobState
+import org.chalkhollow.model.Resources
+import org.chalkhollow.wire.Malformed
+import org.chalkhollow.wire.UserCodec
+
+/**
+ * Users' requests: answered from durable knowledge by the leader, passed on to it by everyone else. A request that cannot be
+ * taken now is answered at once with 503 and when to come back.
+ */
+class Door(
+    private val desk: Desk,
+    private val leadership: Leadership,
+    private val log: StateLog,
+    private val jobs: JobTable,
+    private val quotas: Quotas,
+    private val fleet: Fleet,
+    private val names: Names,
+) {
+    private class Passed(val call: Int, val deadline: Long)
+    private class Origin(val peer: Int, val seq: Long)
+    private class Waiting(val calls: ArrayList<Int>, var since: Long)
+
+    private val passed = Long2ObjectLinkedOpenHashMap<Passed>()
+
+    // Not from 1: an answer meant for an earlier life of this controller must not be taken for one of ours.
+    private var nextSeq = desk.random.nextLong(1L shl 61)
+    private val origins = Int2ObjectOpenHashMap<Origin>()
+    private var nextRemoteCall = -1
+
+    /** Calls that wait for a write, by job id. */
+    private val accepting = HashMap<String, Waiting>()
+    private val cancelling = HashMap<String, Waiting>()
+    private val finishing = HashMap<String, Waiting>()
+
+    /** Set by the controller once everything is rebuilt. */
+    var open = false
+
+    fun ask(call: Int, ask: UserAsk) {
+        if (leadership.entitled()) {
+            if (open) serve(call, ask) else later(call)
+            return
+        }
+        val leader = leadership.reachableLeader()
+        if (leader < 0 || !leadership.leaderIsReady() || passed.size >= MOST_PASSED) return later(call)
+        val seq = nextSeq++
+        passed.put(seq, Passed(call, desk.steady + PASS_MS))
+        val message = when (ask) {
+            is UserAsk.Submit -> PeerMessage.Forward(seq, SUBMIT, ask.jobId, ask.raw)
+            is UserAsk.Poll -> PeerMessage.Forward(seq, POLL, ask.jobId, NOTHING)
+            is UserAsk.Withdraw -> PeerMessage.Forward(seq, WITHDRAW, ask.jobId, NOTHING)
+        }
+        desk.emit(Effect.Send(leader, message))
+    }
+
+    fun onForward(from: Int, m: PeerMessage.Forward) {
+        val call = nextRemoteCall--
+        if (nextRemoteCall < -1_000_000_000) nextRemoteCall = -1
+        origins.put(call, Origin(from, m.seq))
+        val ask = try {
+            when (m.kind) {
+                SUBMIT -> UserAsk.Submit(UserCodec.job(m.body), m.body)
+                POLL -> UserAsk.Poll(m.jobId)
+                else -> UserAsk.Withdraw(m.jobId)
+            }
+        } catch (e: Malformed) {
+            return reply(call, 400)
+        }
+        if (leadership.entitled() && open) serve(call, ask) else later(call)
+    }
+
+    fun onForwarded(m: PeerMessage.Forwarded) {
+        val p = passed.remove(m.seq) ?: return
+        desk.emit(Effect.Answer(p.call, m.status, m.body.takeIf { it.isNotEmpty() }, m.retryAfterS))
+    }
+
+    private fun serve(call: Int, ask: UserAsk) = when (ask) {
+        is UserAsk.Submit -> submit(call, ask.spec)
+        is UserAsk.Poll -> poll(call, ask.jobId)
+        is UserAsk.Withdraw -> withdraw(call, ask.jobId)
+    }
+
+    private fun submit(call: Int, spec: JobSpec) {
+        val known = jobs.find(spec.id)
+        if (known?.state != null) return reply(call, 200, UserCodec.status(spec.id, status(known)))
+        val waiting = accepting[spec.id]
+        if (waiting != null) {
+            waiting.calls.add(call)
+            return
+        }
+        if (!fleet.catalogKnown || log.stalled() || accepting.size >= MOST_ACCEPTING) return later(call)
+        if (!canEverRun(spec)) return reply(call, 422)
+        if (!jobs.fits(spec)) return reply(call, 400)
+        accepting[spec.id] = Waiting(arrayListOf(call), desk.steady)
+        jobs.accept(spec) {
+            accepting.remove(spec.id)?.calls?.forEachIndexed { i, c ->
+                reply(c, if (i == 0) 201 else 200, UserCodec.status(spec.id, "queued"))
+            }
+        }
+    }
+
+    /** Whether the team exists and its limit and some allowed machine type admit at least one task. */
+    private fun canEverRun(spec: JobSpec): Boolean {
+        val team = names.teams.find(spec.team)
+        if (team < 0 || !quotas.possible(team, spec.each)) return false
+        return fleet.types.filterNotNull().any { type ->
+            (spec.types == null || type.name in spec.types) && (spec.zone == null || spec.zone in type.zones) && spec.each.fitsIn(type.room)
+        }
+    }
+
+    private fun poll(call: Int, id: String) {
+        val entry = jobs.find(id)
+        if (entry?.state == null) {
+            // Not written as far as we know; while its write is under way that is not certain.
+            return if (id in accepting) later(call) else reply(call, 404)
+        }
+        val job = entry.open
+        val done = if (entry.state == JobState.DONE) entry.tasks else job?.doneCount ?: 0
+        reply(call, 200, UserCodec.progress(id, status(entry), minOf(done, entry.tasks), job?.running ?: 0))
+    }
+
+    private fun status(entry: JobEntry): String = when (entry.state) {
+        JobState.DONE -> "done"
+        JobState.CANCELLED -> "aborted"
+        else -> if ((entry.open?.running ?: 0) > 0) "running" else "queued"
+    }
+
+    private fun withdraw(call: Int, id: String) {
+        val entry = jobs.find(id)
+        val job = entry?.open
+        when {
+            entry?.state == null -> if (id in accepting) later(call) else reply(call, 404)
+            entry.state == JobState.DONE -> reply(call, 200, UserCodec.status(id, "done"))
+            entry.state == JobState.CANCELLED -> reply(call, 200, UserCodec.status(id, "aborted"))
+            log.stalled() -> later(call)
+            job == null -> later(call)
+            job.cancelling -> cancelling.getOrPut(id) { Waiting(ArrayList(), desk.steady) }.calls.add(call)
+            job.complete -> finishing.getOrPut(id) { Waiting(ArrayList(), desk.steady) }.calls.add(call)
+            else -> {
+                cancelling[id] = Waiting(arrayListOf(call), desk.steady)
+                jobs.cancel(job) {
+                    cancelling.remove(id)?.calls?.forEach { reply(it, 200, UserCodec.status(id, "aborted")) }
+                }
+            }
+        }
+    }
+
+    /** A job is durably done. */
+    fun finished(job: OpenJob) {
+        finishing.remove(job.spec.id)?.calls?.forEach { reply(it, 200, UserCodec.status(job.spec.id, "done")) }
+    }
+
+    fun tick() {
+        val t = desk.steady
+        while (!passed.isEmpty()) {
+            val seq = passed.firstLongKey()
+            val p = passed.get(seq)
+            if (p.deadline > t) break
+            passed.remove(seq)
+            later(p.call)
+        }
+        if (log.stalled()) for (map in listOf(accepting, cancelling, finishing)) turnAway(map)
+    }
+
+    /** The state service does not answer: callers hear so now; what is under way may still come to be. */
+    private fun turnAway(map: Map<String, Waiting>) {
+        for (waiting in map.values) {
+            waiting.calls.forEach(::later)
+            waiting.calls.clear()
+        }
+    }
+
+    /** No longer leading: whatever was under way is answered by the next leader. */
+    fun close() {
+        open = false
+        for (map in listOf(accepting, cancelling, finishing)) {
+            turnAway(map)
+            map.clear()
+        }
+    }
+
+    private fun later(call: Int) = reply(call, 503, null, 1)
+
+    private fun reply(call: Int, status: Int, body: Map<String, Any?>? = null, retryAfterS: Int = 0) {
+        if (call >= 0) return desk.answer(call, status, body, retryAfterS)
+        val origin = origins.remove(call) ?: return
+        val bytes = body?.let(org.chalkhollow.wire.Pack::encode) ?: NOTHING
+        desk.emit(Effect.Send(origin.peer, PeerMessage.Forwarded(origin.seq, status, bytes, retryAfterS)))
+    }
+
+    private companion object {
+        const val SUBMIT = 1
+        const val POLL = 2
+        const val WITHDRAW = 3
+        const val PASS_MS = 1500L
+        const val MOST_PASSED = 500
+        const val MOST_ACCEPTING = 1000
+        val NOTHING = ByteArray(0)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -0,0 +1,426 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.model.Resources
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.PlatformSettings
+import org.chalkhollow.wire.ListedMachine
+import org.chalkhollow.wire.WorkerReport
+
+/** Owns the machines: what is up, what to rent, what to return, what to drain. */
+class Fleet(
+    private val desk: Desk,
+    private val names: Names,
+    private val settings: PlatformSettings,
+    private val options: OperatorSettings,
+    private val label: String,
+) {
+    private val byName = HashMap<String, Machine>()
+    private val gone = HashSet<String>()
+
+    /** Machine types by index; a type that the catalog does not list is null. */
+    val types = ArrayList<MachineType?>()
+    val machines: Collection<Machine> get() = byName.values
+    var catalogKnown = false
+        private set
+
+    /** Set by the controller: everything on the machine is certainly gone. */
+    var onGone: (Machine) -> Unit = {}
+
+    private val leaseMs = (settings.leaseS * 1000).toLong()
+    private var generation = 0L
+    private var takenOverAt = 0L
+    private var requests = 0L
+    private var tokens = 1.0
+    private var refilledAt = 0L
+    private var catalogAt = Machine.NEVER
+    private var catalogBusy = false
+    private var listAt = Machine.NEVER
+    private var listBusy = false
+    private var listed = HashSet<String>()
+    private var changeBusy = false
+    private var pendingRent: CloudOp.Rent? = null
+    private var retryRentAt = 0L
+    private val refusedUntil = HashMap<Offer, Long>()
+    private val backoff = HashMap<Offer, Long>()
+
+    /** What can be rented: a type in a zone, spot or ordinary. */
+    data class Offer(val type: Int, val zone: Int, val spot: Boolean)
+
+    fun start(newGeneration: Long) {
+        byName.clear()
+        gone.clear()
+        generation = newGeneration
+        takenOverAt = desk.steady
+        requests = 0
+        pendingRent = null
+        changeBusy = false
+        listBusy = false
+        listAt = Machine.NEVER
+        refusedUntil.clear()
+        backoff.clear()
+    }
+
+    fun known(name: String): Machine = byName.getOrPut(name) {
+        Machine(names.machines.intern(name), name).also {
+            it.bornAt = desk.steady
+            it.answeredAt = takenOverAt // an earlier leader may have answered it until we took over
+        }
+    }
+
+    fun isGone(name: String): Boolean = name in gone
+
+    fun size(m: Machine): Double = types.getOrNull(m.type)?.room?.cpus ?: 0.0
+
+    /** Takes in who reports; null for a machine that is gone or a session that is over. */
+    fun observe(report: WorkerReport): Machine? {
+        if (report.machine in gone) return null
+        val m = known(report.machine)
+        if (report.session <= m.lapsedSession || report.session < m.session || m.state == Machine.State.DELETING) return null
+        m.type = names.types.intern(report.type)
+        m.zone = names.zones.intern(report.zone)
+        m.spot = report.spot
+        m.address = report.address
+        if (report.session > m.session) {
+            if (m.session > 0) onGone(m)
+            m.session = report.session
+            m.seq = -1
+            m.images.clear()
+        }
+        m.state = Machine.State.UP
+        m.reportedAt = desk.steady
+        m.token = maxOf(m.token, report.token)
+        val notice = report.noticeS
+        m.noticeAt = if (notice == null) Machine.NEVER else desk.steady + (notice * 1000).toLong()
+        if (notice != null) windDown(m)
+        return m
+    }
+
+    /** The cloud will take the machine: what can save its progress does so now. */
+    private fun windDown(m: Machine) {
+        for (a in m.attempts) if (a.job.spec.checkpointS > 0 && a.phase == Attempt.Phase.RUNNING) a.stopping = true
+    }
+
+    /** Machines that take new tasks: up, heard from at our token, neither draining nor about to be taken. */
+    fun placeable(): List<Machine> = byName.values.filter { m ->
+        m.state == Machine.State.UP && m.token >= generation && !m.draining && m.noticeAt == Machine.NEVER &&
+            desk.steady >= m.fullUntil && desk.steady - m.reportedAt < leaseMs / 2 && types.getOrNull(m.type) != null
+    }
+
+    fun allows(job: OpenJob, type: Int, zone: Int, spot: Boolean): Boolean =
+        (job.types == null || type in job.types) && (job.zone < 0 || job.zone == zone) && (!spot || job.spec.spotAllowed)
+
+    /** Ends leases that have certainly lapsed. */
+    fun lapse() {
+        val t = desk.steady
+        for (m in byName.values) {
+            if (m.state == Machine.State.LOST || m.state == Machine.State.DELETING) continue
+            if (m.state == Machine.State.BOOTING && m.attempts.isEmpty()) continue
+            if (t < m.answeredAt + leaseMs + leaseMs / 500 + LAPSE_MARGIN_MS) continue
+            desk.info("the lease of ${m.name} has lapsed")
+            m.state = Machine.State.LOST
+            m.lostAt = t
+            m.lapsedSession = maxOf(m.session, m.lapsedSession)
+            onGone(m)
+        }
+    }
+
+    fun tick(leading: Boolean, unplaced: List<Placement.Unplaced>, mayRent: Boolean) {
+        refill()
+        val t = desk.steady
+        if (!catalogBusy && (catalogAt == Machine.NEVER || leading && t - catalogAt > CATALOG_MS) && spend()) readCatalog()
+        if (!leading || !catalogKnown) return
+        if (!listBusy && t - listAt > LIST_MS && spend()) readList(null, HashSet())
+        if (changeBusy) return
+        val rent = pendingRent
+        if (rent != null) {
+            if (t >= retryRentAt && spend()) send(rent)
+            return
+        }
+        if (returnMachines(unplaced.isEmpty())) return
+        if (mayRent) rentFor(unplaced)
+    }
+
+    private fun readCatalog() {
+        catalogBusy = true
+        desk.cloud(CloudOp.Catalog) { reply ->
+            catalogBusy = false
+            if (reply is CloudReply.CatalogIs) {
+                catalogAt = desk.steady
+                catalogKnown = true
+                for (type in reply.types) {
+                    val index = names.types.intern(type.name)
+                    while (types.size <= index) types.add(null)
+                    types[index] = type
+                }
+            }
+        }
+    }
+
+    private fun readList(after: String?, found: HashSet<String>) {
+        listBusy = true
+        val inGeneration = generation
+        desk.cloud(CloudOp.Machines(after)) { reply ->
+            if (inGeneration != generation) return@cloud
+            listBusy = false
+            if (reply !is CloudReply.MachinesAre) {
+                listAt = desk.steady - LIST_MS / 2
+                return@cloud
+            }
+            for (m in reply.page.machines) {
+                found.add(m.name)
+                onListed(m)
+            }
+            val last = reply.page.machines.lastOrNull()?.name
+            if (reply.page.more && last != null) readList(last, found)
+            else {
+                listAt = desk.steady
+                dropUnlisted(found)
+            }
+        }
+    }
+
+    private fun onListed(l: ListedMachine) {
+        if (l.name in gone) return
+        val m = known(l.name)
+        if (m.state == Machine.State.DELETING) return
+        m.listedAt = desk.steady
+        if (m.type < 0) {
+            m.type = names.types.intern(l.type)
+            m.zone = names.zones.intern(l.zone)
+            m.spot = l.spot
+            m.bornAt = desk.steady - (l.ageS * 1000).toLong()
+        }
+        if (l.address.isNotEmpty()) m.address = l.address
+        m.failed = l.status == ListedMachine.Status.FAILED
+        m.listedStarting = l.status == ListedMachine.Status.STARTING
+    }
+
+    /** A machine that was listed and no longer is, and does not report, has gone. */
+    private fun dropUnlisted(found: Set<String>) {
+        val t = desk.steady
+        val patience = (settings.listLagS * 2000).toLong() + LIST_MS * 2
+        for (m in ArrayList(byName.values)) {
+            if (m.name in found || m.state == Machine.State.UP || m.state == Machine.State.DELETING) continue
+            if (m.state == Machine.State.BOOTING && m.attempts.isNotEmpty()) continue // its lease has to lapse first
+            val since = if (m.listedAt != Machine.NEVER) m.listedAt else m.bornAt
+            if (t - since > patience) remove(m)
+        }
+    }
+
+    private fun remove(m: Machine) {
+        onGone(m)
+        byName.remove(m.name)
+        gone.add(m.name)
+    }
+
+    /** Deletes what failed, never came up, was lost or idles; true if a request was sent. */
+    private fun returnMachines(nothingWaits: Boolean): Boolean {
+        val t = desk.steady
+        val out = ArrayList<Machine>()
+        for (m in byName.values) {
+            if (m.state == Machine.State.DELETING) continue
+            if (m.attempts.isNotEmpty() || m.state != Machine.State.UP) m.idleSince = Machine.NEVER
+            else if (m.idleSince == Machine.NEVER) m.idleSince = t
+            if (m.failedJobs.size >= SICK_JOBS && !m.draining) {
+                m.draining = true
+                desk.info("${m.name} fails every task and is set aside")
+            }
+            if (useless(m, t)) out.add(m)
+        }
+        if (nothingWaits) out.addAll(idle(t))
+        if (out.isEmpty() || !spend()) return false
+        delete(out.take(MOST_DELETED))
+        return true
+    }
+
+    private fun useless(m: Machine, t: Long): Boolean {
+        val bootMs = (types.getOrNull(m.type)?.bootS ?: 60.0) * 1000
+        return when {
+            m.failed && m.state != Machine.State.UP -> true
+            m.state == Machine.State.LOST -> t - m.lostAt > LOST_MS
+            m.state == Machine.State.BOOTING -> m.attempts.isEmpty() && t - m.bornAt > bootMs * 4 + BOOT_SLACK_MS
+            m.draining -> !m.busy
+            m.noticeAt != Machine.NEVER -> !m.busy && m.attempts.isEmpty()
+            else -> false
+        }
+    }
+
+    private fun idle(t: Long): List<Machine> {
+        val idle = byName.values.filter { it.state == Machine.State.UP && it.idleSince != Machine.NEVER && !it.draining }
+        val spare = options.spareMachines
+        val long = idle.filter { t - it.idleSince > options.idleReturnS * 1000 }
+        return long.sortedByDescending { priceOf(it.type, it.spot) }.take(maxOf(0, idle.size - spare))
+    }
+
+    private fun delete(list: List<Machine>) {
+        changeBusy = true
+        for (m in list) m.state = Machine.State.DELETING
+        val inGeneration = generation
+        desk.info("returning ${list.joinToString(" ") { it.name }}")
+        desk.cloud(CloudOp.Delete(list.map { it.name })) { reply ->
+            if (inGeneration != generation) return@cloud
+            changeBusy = false
+            if (reply is CloudReply.Deleted) list.forEach(::remove)
+            // Without a 200 they may or may not be gone: they stay out of use and are asked for again.
+            else for (m in list) {
+                m.state = Machine.State.LOST
+                m.lapsedSession = maxOf(m.session, m.lapsedSession)
+                m.lostAt = desk.steady - LOST_MS
+            }
+        }
+    }
+
+    private fun priceOf(type: Int, spot: Boolean): Double =
+        types.getOrNull(type)?.let { if (spot) it.spotPrice else it.price } ?: 0.0
+
+    /** Rents for the most urgent class of tasks that neither the machines that are up nor those booting have room for. */
+    private fun rentFor(unplaced: List<Placement.Unplaced>) {
+        if (unplaced.isEmpty()) return
+        val t = desk.steady
+        val coming = byName.values.filter { it.state == Machine.State.BOOTING && it.type >= 0 && !it.failed && !overdue(it, t) }
+        val rooms = coming.map { Virtual(it.type, it.zone, it.spot, types.getOrNull(it.type)?.room ?: Machine.NOTHING) }
+            .toMutableList()
+        val wanted = LinkedHashMap<Offer, Int>()
+        var total = byName.size
+        for (u in unplaced) {
+            var left = fill(u, rooms)
+            while (left > 0 && total < options.maxMachines) {
+                val offer = cheapest(u.job, t) ?: break
+                val room = Virtual(offer.type, offer.zone, offer.spot, types[offer.type]?.room ?: break)
+                wanted.merge(offer, 1, Int::plus)
+                total++
+                rooms.add(room)
+                left -= room.take(u.job, left)
+                if (wanted.getValue(offer) >= MOST_RENTED) break
+            }
+        }
+        val (offer, count) = wanted.entries.firstOrNull() ?: return
+        if (!spend()) return
+        requests++
+        // The generation is in the name, and the label for good measure: no request name comes twice.
+        val name = "$label-$generation-$requests"
+        val rent = CloudOp.Rent(name, names.types.name(offer.type), names.zones.name(offer.zone), offer.spot, minOf(count, MOST_RENTED))
+        pendingRent = rent
+        send(rent)
+    }
+
+    private class Virtual(val type: Int, val zone: Int, val spot: Boolean, var room: Resources) {
+        fun take(job: OpenJob, most: Int): Int {
+            val n = minOf(most, job.each.countIn(room))
+            if (n > 0) room = Resources(room.cpus - n * job.each.cpus, room.cards - n * job.each.cards, room.memoryGb - n * job.each.memoryGb)
+            return n
+        }
+    }
+
+    private fun fill(u: Placement.Unplaced, rooms: List<Virtual>): Int {
+        var left = u.count
+        for (v in rooms) {
+            if (left == 0) break
+            if (allows(u.job, v.type, v.zone, v.spot)) left -= v.take(u.job, left)
+        }
+        return left
+    }
+
+    private fun overdue(m: Machine, t: Long): Boolean = t - m.bornAt > (types.getOrNull(m.type)?.bootS ?: 60.0) * 2000
+
+    /** The offer with the lowest price for one task of [job], among those not refused lately. */
+    private fun cheapest(job: OpenJob, t: Long): Offer? {
+        var best: Offer? = null
+        var bestPrice = Double.MAX_VALUE
+        for ((index, type) in types.withIndex()) {
+            if (type == null || !Placement.fitsType(job, index, type)) continue
+            val each = job.each.countIn(type.room)
+            if (each <= 0) continue
+            for (zoneName in type.zones) {
+                val zone = names.zones.intern(zoneName)
+                for (spot in SPOT_FIRST) {
+                    val offer = Offer(index, zone, spot)
+                    if (!allows(job, index, zone, spot) || t < (refusedUntil[offer] ?: 0)) continue
+                    // Ties between zones go to the one with fewer machines, so that no zone holds them all.
+                    val price = priceOf(index, spot) / each * (1 + byName.values.count { it.zone == zone } * 1e-4)
+                    if (price < bestPrice) {
+                        best = offer
+                        bestPrice = price
+                    }
+                }
+            }
+        }
+        return best
+    }
+
+    private fun send(rent: CloudOp.Rent) {
+        changeBusy = true
+        val inGeneration = generation
+        val offer = Offer(names.types.intern(rent.type), names.zones.intern(rent.zone), rent.spot)
+        desk.cloud(rent) { reply ->
+            if (inGeneration != generation) return@cloud
+            changeBusy = false
+            when (reply) {
+                is CloudReply.Rented -> {
+                    pendingRent = null
+                    rented(rent, offer, reply.names)
+                }
+                CloudReply.NoCapacity -> {
+                    pendingRent = null
+                    refuse(offer)
+                }
+                is CloudReply.Rejected -> {
+                    desk.warn("the cloud rejects a rental: ${reply.why}")
+                    pendingRent = null
+                    refuse(offer)
+                }
+                // Unknown or not executed: the same name again, which rents at most once.
+                else -> retryRentAt = desk.steady + RENT_RETRY_MS
+            }
+        }
+    }
+
+    private fun rented(rent: CloudOp.Rent, offer: Offer, list: List<String>) {
+        desk.info("rented ${list.size} of ${rent.count} ${rent.type} in ${rent.zone}${if (rent.spot) " (spot)" else ""}")
+        for (name in list) {
+            if (name in gone) continue
+            val m = known(name)
+            if (m.type < 0) {
+                m.type = offer.type
+                m.zone = offer.zone
+                m.spot = offer.spot
+                m.bornAt = desk.steady
+            }
+        }
+        if (list.size < rent.count) refuse(offer) else backoff.remove(offer)
+    }
+
+    private fun refuse(offer: Offer) {
+        val wait = minOf(MOST_BACKOFF_MS, (backoff[offer] ?: FIRST_BACKOFF_MS))
+        refusedUntil[offer] = desk.steady + wait
+        backoff[offer] = wait * 3 / 2
+    }
+
+    private fun refill() {
+        val most = settings.cloudRps
+        tokens = minOf(most, tokens + (desk.steady - refilledAt) * settings.cloudRps * 0.8 / 1000.0)
+        refilledAt = desk.steady
+    }
+
+    private fun spend(): Boolean {
+        if (tokens < 1.0) return false
+        tokens -= 1.0
+        return true
+    }
+
+    private companion object {
+        val SPOT_FIRST = booleanArrayOf(true, false)
+        const val LAPSE_MARGIN_MS = 500L
+        const val CATALOG_MS = 60_000L
+        const val LIST_MS = 4000L
+        const val LOST_MS = 45_000L
+        const val BOOT_SLACK_MS = 10_000L
+        const val SICK_JOBS = 2
+        const val MOST_DELETED = 100
+        const val MOST_RENTED = 50
+        const val RENT_RETRY_MS = 700L
+        const val FIRST_BACKOFF_MS = 5000L
+        const val MOST_BACKOFF_MS = 20_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Io.kt
@@ -0,0 +1,104 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.wire.Change
+import org.chalkhollow.wire.Command
+import org.chalkhollow.wire.Condition
+import org.chalkhollow.wire.ListedPage
+import org.chalkhollow.wire.Row
+import org.chalkhollow.wire.Rows
+import org.chalkhollow.wire.WorkerReport
+
+/** The moment of an input: [steady] never jumps, [wall] is the time of day; both in milliseconds. */
+data class Now(val steady: Long, val wall: Long)
+
+/** What a user asks. */
+sealed interface UserAsk {
+    val jobId: String
+
+    class Submit(val spec: JobSpec, val raw: ByteArray) : UserAsk {
+        override val jobId get() = spec.id
+    }
+
+    class Poll(override val jobId: String) : UserAsk
+    class Withdraw(override val jobId: String) : UserAsk
+}
+
+/** Everything that can happen to a controller. */
+sealed interface Input {
+    data object Tick : Input
+    class User(val call: Int, val ask: UserAsk) : Input
+    class Report(val call: Int, val report: WorkerReport) : Input
+    class State(val ticket: Int, val reply: StateReply) : Input
+    class Cloud(val ticket: Int, val reply: CloudReply) : Input
+    class Direct(val ticket: Int, val reply: DirectReply) : Input
+    class Peer(val from: Int, val message: PeerMessage) : Input
+}
+
+/** Everything that a controller can want done. */
+sealed interface Effect {
+    class Answer(val call: Int, val status: Int, val body: ByteArray?, val retryAfterS: Int = 0) : Effect
+    class State(val ticket: Int, val op: StateOp) : Effect
+    class Cloud(val ticket: Int, val op: CloudOp) : Effect
+    class Direct(val ticket: Int, val address: String, val token: Long, val session: Long, val commands: List<Command>) : Effect
+    class Send(val peer: Int, val message: PeerMessage) : Effect
+    class Timer(val at: Long) : Effect
+    class Note(val level: Level, val text: String) : Effect
+
+    enum class Level { ERROR, WARN, INFO, DEBUG }
+}
+
+/** Operations on the state service. */
+sealed interface StateOp {
+    data class Read(val key: String) : StateOp
+    data class List(val prefix: String, val after: String?) : StateOp
+    data class Commit(val conditions: kotlin.collections.List<Condition>, val changes: kotlin.collections.List<Change>) : StateOp
+}
+
+/** Replies of the state service. */
+sealed interface StateReply {
+    data class Found(val row: Row) : StateReply
+    data object Missing : StateReply
+    data class Page(val rows: Rows) : StateReply
+    data class Committed(val revision: Long) : StateReply
+    data class Conflict(val failed: List<String>) : StateReply
+
+    /** Certainly not executed. */
+    data object Unavailable : StateReply
+
+    /** Executed, not executed, or yet to be executed. */
+    data object NoResponse : StateReply
+    data class Rejected(val why: String) : StateReply
+}
+
+/** Operations of the cloud. */
+sealed interface CloudOp {
+    data object Catalog : CloudOp
+    data class Machines(val after: String?) : CloudOp
+    data class Rent(val request: String, val type: String, val zone: String, val spot: Boolean, val count: Int) : CloudOp
+    data class Delete(val names: List<String>) : CloudOp
+}
+
+/** Replies of the cloud. */
+sealed interface CloudReply {
+    data class CatalogIs(val types: List<MachineType>) : CloudReply
+    data class MachinesAre(val page: ListedPage) : CloudReply
+    data class Rented(val names: List<String>) : CloudReply
+    data object NoCapacity : CloudReply
+    data object Deleted : CloudReply
+    data object Unavailable : CloudReply
+    data object NoResponse : CloudReply
+    data class Rejected(val why: String) : CloudReply
+}
+
+/** Replies to direct commands; a refusal carries a report as well. */
+sealed interface DirectReply {
+    data class Executed(val report: WorkerReport) : DirectReply
+    data class Refused(val report: WorkerReport) : DirectReply
+
+    /** The connection was refused before anything was sent. */
+    data object NotSent : DirectReply
+    data object NoResponse : DirectReply
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -0,0 +1,104 @@
+package org.chalkhollow.core
+
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.JobState
+import java.util.BitSet
+
+/** A job that is not over, or whose attempts are not all gone yet; indices stand for all names. */
+class OpenJob(
+    val entry: JobEntry,
+    val spec: JobSpec,
+    val team: Int,
+    val image: Int,
+    val types: IntOpenHashSet?,
+    val zone: Int,
+    val acceptedWall: Long,
+) {
+    val each = spec.each
+    val done = BitSet()
+    var doneCount = 0
+
+    /** Tasks that are neither done nor possibly on a machine. */
+    val ready = BitSet().apply { set(0, spec.tasks) }
+    val live = Int2IntOpenHashMap()
+    var running = 0
+    var cancelling = false
+    var sealing = false
+
+    /** Pages of the done set that are not written yet, and those that exist in the state service. */
+    val dirtyPages = BitSet()
+    val writtenPages = BitSet()
+    var dirtySince = 0L
+
+    /** Nothing is placed before this moment, since tasks failed. */
+    var notBefore = 0L
+    var failures = 0
+    val failedOn = IntOpenHashSet()
+
+    /** Completed attempts whose completion is not durable yet. */
+    val unrecorded = ArrayList<Attempt>()
+
+    /** The end of the time that its owner gave it, by the time of day. */
+    val dueWall: Long = spec.dueS?.let { acceptedWall + (it * 1000).toLong() } ?: Long.MAX_VALUE
+
+    val complete: Boolean get() = doneCount == spec.tasks
+    val cancelled: Boolean get() = entry.state == JobState.CANCELLED
+    val placeable: Boolean get() = !cancelling && !complete && entry.state == JobState.OPEN && !ready.isEmpty
+
+    fun taken(index: Int) {
+        live.addTo(index, 1)
+        ready.clear(index)
+    }
+
+    fun released(index: Int) {
+        val left = live.addTo(index, -1) - 1
+        if (left <= 0) {
+            live.remove(index)
+            if (!done.get(index)) ready.set(index)
+        }
+    }
+
+    fun markDone(index: Int): Boolean {
+        if (index >= spec.tasks || done.get(index)) return false
+        done.set(index)
+        ready.clear(index)
+        doneCount++
+        return true
+    }
+}
+
+/** What stays of a job for ever: its state and its size. */
+class JobEntry(val id: Int, var tasks: Int) {
+    var state: JobState? = null
+    var open: OpenJob? = null
+}
+
+/** One start of a task: (job, index, number), on one machine. It is settled once it is certain that it runs nowhere. */
+class Attempt(val job: OpenJob, val index: Int, val number: Long, val machine: Machine, val marker: Marker?) {
+    enum class Phase { MARKING, MARKED, SENT, FETCHING, RUNNING, SAVING, EXITED }
+
+    var phase = Phase.MARKING
+
+    /** Dispatched by an earlier leader, or found on a machine: absence is proof only in a report at our token. */
+    var inherited = false
+
+    /** A direct start without a known outcome: neither to be forgotten nor taken for absent. */
+    var directPending = false
+
+    /** Its end is recorded, or needs no record. */
+    var forgettable = false
+    var stopping = false
+    var stopSentAt = 0L
+    var settled = false
+    var since = 0L
+
+    val onMachine: Boolean get() = phase == Phase.FETCHING || phase == Phase.RUNNING || phase == Phase.SAVING
+}
+
+/** A durable note that the attempts listed under [key] may have been started. */
+class Marker(val key: String, val number: Long) {
+    var outstanding = 0
+    var durable = false
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/JobTable.kt
@@ -0,0 +1,204 @@
+package org.chalkhollow.core
+
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet
+import org.chalkhollow.model.Interner
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.JobState
+import org.chalkhollow.settings.StateLimits
+import org.chalkhollow.wire.Change
+import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Row
+import org.chalkhollow.wire.UserCodec
+import java.util.Base64
+import java.util.BitSet
+
+/** Owns the jobs: what is accepted, done and cancelled, and how that is written down. */
+class JobTable(private val desk: Desk, private val names: Names, private val limits: StateLimits) {
+    private val entries = ArrayList<JobEntry>()
+    private val openJobs = LinkedHashSet<OpenJob>()
+    private val urgent = ArrayDeque<Write>()
+    private val trash = ArrayDeque<Write>()
+    private val pageTasks = limits.valueBytes * 2 // a page's Base64 text then takes a third of a value
+
+    val open: Collection<OpenJob> get() = openJobs
+    val size: Int get() = entries.size
+
+    fun clear() {
+        entries.clear()
+        openJobs.clear()
+        urgent.clear()
+        trash.clear()
+        names.jobs.clear()
+    }
+
+    fun find(id: String): JobEntry? {
+        val index = names.jobs.find(id)
+        return if (index == Interner.UNKNOWN) null else entries[index]
+    }
+
+    private fun entry(id: String, tasks: Int): JobEntry {
+        val index = names.jobs.intern(id)
+        if (index == entries.size) entries.add(JobEntry(index, tasks))
+        return entries[index]
+    }
+
+    /** Whether the record of [spec] fits into one value of the state service. */
+    fun fits(spec: JobSpec): Boolean = Sizes.of(record(spec, 0)) <= limits.valueBytes
+
+    private fun record(spec: JobSpec, wall: Long): Map<String, Any?> =
+        mapOf("s" to "open", "at" to wall, "j" to UserCodec.map(spec))
+
+    /** Queues a new job for its durable record; [then] runs once it is accepted. */
+    fun accept(spec: JobSpec, then: () -> Unit) {
+        val entry = entry(spec.id, spec.tasks)
+        val wall = desk.now.wall
+        urgent.add(
+            Write(listOf(Change(JOB + spec.id, record(spec, wall)))) {
+                entry.state = JobState.OPEN
+                openUp(entry, spec, wall)
+                then()
+            },
+        )
+    }
+
+    private fun openUp(entry: JobEntry, spec: JobSpec, wall: Long): OpenJob {
+        val types = spec.types?.let { list -> IntOpenHashSet(list.map { names.types.intern(it) }) }
+        val image = spec.image?.let(names.images::intern) ?: Interner.UNKNOWN
+        val zone = spec.zone?.let(names.zones::intern) ?: Interner.UNKNOWN
+        val job = OpenJob(entry, spec, names.teams.find(spec.team), image, types, zone, wall)
+        entry.open = job
+        openJobs.add(job)
+        return job
+    }
+
+    /** Queues the cancellation of an open job; [then] runs once it is durable. */
+    fun cancel(job: OpenJob, then: () -> Unit) {
+        job.cancelling = true
+        urgent.add(
+            Write(listOf(Change(JOB + job.spec.id, finalRecord("cancelled", job)))) {
+                close(job, JobState.CANCELLED)
+                onCancelled(job)
+                then()
+            },
+        )
+    }
+
+    private fun finalRecord(state: String, job: OpenJob): Map<String, Any?> = mapOf("s" to state, "n" to job.spec.tasks)
+
+    private fun close(job: OpenJob, state: JobState) {
+        job.entry.state = state
+        job.entry.open = null
+        openJobs.remove(job)
+        for (page in job.writtenPages.stream()) trash.add(Write(listOf(Change(pageKey(job, page), null))) {})
+    }
+
+    /** Notes that a task has completed; it is written with the next transaction that has room. */
+    fun taskDone(job: OpenJob, index: Int) {
+        if (!job.markDone(index)) return
+        if (job.dirtyPages.isEmpty) job.dirtySince = desk.steady
+        job.dirtyPages.set(index / pageTasks)
+    }
+
+    /** Accepted and cancelled jobs come first. */
+    fun nextUrgent(room: StateLog.Room): Write? {
+        val write = urgent.firstOrNull() ?: return null
+        return if (write.fits(room)) urgent.removeFirst() else null
+    }
+
+    /** Then completions: jobs that are over at once, others gathered for a moment. */
+    fun nextCompletion(room: StateLog.Room, attemptsRecorded: (OpenJob, BitSet) -> Unit): Write? {
+        if (room.ops < 1) return null
+        for (job in openJobs) {
+            if (job.cancelling || job.sealing || job.dirtyPages.isEmpty) continue
+            if (job.complete) return sealed(job, attemptsRecorded).takeIf { it.fits(room) }?.also { job.sealing = true }
+            if (desk.steady - job.dirtySince < GATHER_MS) continue
+            return page(job, attemptsRecorded, room) ?: continue
+        }
+        return null
+    }
+
+    private fun sealed(job: OpenJob, recorded: (OpenJob, BitSet) -> Unit): Write {
+        val done = job.done.clone() as BitSet
+        return Write(listOf(Change(JOB + job.spec.id, finalRecord("done", job)))) {
+            job.dirtyPages.clear()
+            close(job, JobState.DONE)
+            recorded(job, done)
+            onDone(job)
+        }
+    }
+
+    /** Called when a job is durably cancelled. */
+    var onCancelled: (OpenJob) -> Unit = {}
+
+    /** Called when a job is durably done. */
+    var onDone: (OpenJob) -> Unit = {}
+
+    private fun page(job: OpenJob, recorded: (OpenJob, BitSet) -> Unit, room: StateLog.Room): Write? {
+        val page = job.dirtyPages.nextSetBit(0)
+        val from = page * pageTasks
+        val slice = job.done.get(from, minOf(from + pageTasks, job.spec.tasks))
+        val text = Base64.getEncoder().encodeToString(slice.toByteArray())
+        val write = Write(listOf(Change(pageKey(job, page), mapOf("b" to text)))) {
+            job.writtenPages.set(page)
+            if (job.entry.state != JobState.OPEN) trash.add(Write(listOf(Change(pageKey(job, page), null))) {})
+            val done = BitSet()
+            for (i in slice.stream()) done.set(from + i)
+            recorded(job, done)
+        }
+        if (!write.fits(room)) return null
+        job.dirtyPages.clear(page)
+        job.dirtySince = desk.steady
+        return write
+    }
+
+    fun nextTrash(room: StateLog.Room): Write? {
+        val write = trash.firstOrNull() ?: return null
+        return if (write.fits(room)) trash.removeFirst() else null
+    }
+
+    private fun Write.fits(room: StateLog.Room): Boolean =
+        changes.size <= room.ops && changes.sumOf { Sizes.of(it) } <= room.bytes
+
+    private fun pageKey(job: OpenJob, page: Int): String = PROGRESS + job.spec.id + "/" + page * pageTasks
+
+    /** Takes in a row that an earlier leader wrote. */
+    fun loadJob(row: Row) {
+        val f = Fields.of(row.value, row.key)
+        val id = row.key.substring(JOB.length)
+        when (f.text("s")) {
+            "open" -> {
+                val spec = UserCodec.job(Fields.of(f.map["j"], row.key))
+                val entry = entry(id, spec.tasks)
+                entry.state = JobState.OPEN
+                openUp(entry, spec, f.long("at"))
+            }
+            "done" -> entry(id, f.long("n").toInt()).state = JobState.DONE
+            else -> entry(id, f.long("n").toInt()).state = JobState.CANCELLED
+        }
+    }
+
+    /** Takes in a page of done tasks; pages of jobs that are over are removed. */
+    fun loadPage(row: Row) {
+        val parts = row.key.substring(PROGRESS.length).split('/')
+        val job = find(parts[0])?.open
+        if (job == null) {
+            trash.add(Write(listOf(Change(row.key, null))) {})
+            return
+        }
+        val from = parts[1].toInt()
+        val bits = BitSet.valueOf(Base64.getDecoder().decode(Fields.of(row.value, row.key).text("b")))
+        job.writtenPages.set(from / pageTasks)
+        for (i in bits.stream()) job.markDone(from + i)
+    }
+
+    /** A job whose last page was written but not its end: the end is written now. */
+    fun afterLoad() {
+        for (job in openJobs) if (job.complete) job.dirtyPages.set(0)
+    }
+
+    companion object {
+        const val JOB = "job/"
+        const val PROGRESS = "prog/"
+        private const val GATHER_MS = 400L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Leadership.kt
@@ -0,0 +1,343 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.wire.Change
+import org.chalkhollow.wire.Condition
+import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Malformed
+import org.chalkhollow.wire.Row
+
+/** The leadership record: who leads, in which life of that process, under which generation, after how many writes. */
+data class LeadRecord(val owner: String, val incarnation: Long, val generation: Long, val writes: Long) {
+    fun value(): Map<String, Any?> =
+        mapOf("owner" to owner, "life" to incarnation, "generation" to generation, "writes" to writes)
+
+    companion object {
+        const val KEY = "ch/lead"
+
+        fun of(row: Row): LeadRecord {
+            val f = Fields.of(row.value, "leadership record")
+            return LeadRecord(f.text("owner"), f.long("life"), f.long("generation"), f.long("writes"))
+        }
+    }
+}
+
+/**
+ * Owns who leads. The leadership record is a lease: every write of the leader changes its stamp, and a follower may take
+ * over only after it has seen the same stamp for longer than any renewal is good for. Beside it stand the peers'
+ * promises: while a majority (the leader counted) has promised not to stand, the leader stays entitled although the state
+ * service serves nobody, because a candidate needs the votes of a majority, and no vote is given against a promise.
+ * A candidate without votes has to wait out [OperatorSettings.outageLimitMs], beyond which no leader acts on promises.
+ */
+class Leadership(
+    private val desk: Desk,
+    private val label: String,
+    private val peers: List<String>,
+    private val incarnation: Long,
+    private val options: OperatorSettings,
+    private val startedAt: Long,
+    private val events: Events,
+) {
+    interface Events {
+        fun onElected(generation: Long, stamp: Long, writes: Long)
+        fun onDeposed()
+    }
+
+    enum class Role { FOLLOWER, STANDING, LEADER }
+
+    var role = Role.FOLLOWER
+        private set
+
+    /** The generation that this controller leads, or the newest that it has heard of. */
+    var generation = 0L
+        private set
+
+    /** Index of the peer that leads as far as known, or -1. */
+    var leaderPeer = -1
+        private set
+    private var leaderHeardAt = NEVER
+    private var leaderReady = false
+
+    // What a follower has seen of the record.
+    private var seen: LeadRecord? = null
+    private var seenStamp = -1L
+    private var seenSince = NEVER
+    private var reading = false
+    private var readDueAt = startedAt
+    private var servedAt = NEVER
+
+    // Promises and votes given.
+    private var promisedUntil = NEVER
+    private var votedGeneration = 0L
+    private var votedStamp = 0L
+
+    // Votes asked for.
+    private var voteSeq = desk.random.nextLong(1L shl 61) // votes for an earlier life must not count
+    private var voteAskedAt = NEVER
+    private val votes = BooleanArray(peers.size)
+
+    // What a leader holds.
+    private var ledGeneration = 0L
+    private var renewedAt = NEVER
+    private var promiseSeq = 0L
+    private var promiseAskedAt = NEVER
+    private val promiseSends = LongArray(SENDS) { NEVER }
+    private val promises = LongArray(peers.size) { NEVER }
+    private val servedElsewhereSince = LongArray(peers.size) { NEVER }
+    private var failingSince = NEVER
+
+    private val majority = (peers.size + 1) / 2 + 1
+
+    /** Whether this controller may act for all at this moment. */
+    fun entitled(): Boolean {
+        if (role != Role.LEADER) return false
+        val t = desk.steady
+        if (t < renewedAt + shrunk(options.leaderLeaseMs)) return true
+        return t < promisedToMe() && t < renewedAt + shrunk(options.outageLimitMs)
+    }
+
+    /** The leader to send others to, or -1 if none was heard of lately. */
+    fun reachableLeader(): Int = if (leaderPeer >= 0 && desk.steady - leaderHeardAt < HEARD_MS) leaderPeer else -1
+
+    fun leaderIsReady(): Boolean = leaderReady
+
+    /** Whether this controller leads or has heard from a leader within [ms]. */
+    fun inTouch(ms: Long): Boolean = entitled() || desk.steady - leaderHeardAt < ms
+
+    fun tick() {
+        val t = desk.steady
+        when (role) {
+            Role.LEADER -> lead(t)
+            Role.FOLLOWER -> follow(t)
+            Role.STANDING -> Unit
+        }
+    }
+
+    private fun follow(t: Long) {
+        if (!reading && t >= readDueAt) read()
+        val record = seen ?: return
+        if (record.owner == label) return // decided when it was read
+        val stale = t - seenSince
+        if (stale < stretched(options.leaderLeaseMs) + standOffset() || t < promisedUntil) return
+        if (t - servedAt > options.leaderRenewMs * 2 + 500) return // nothing can be written now
+        if (stale > stretched(options.outageLimitMs)) return stand("record unchanged for $stale ms")
+        if (majority == 1) return stand("alone")
+        if (t - startedAt < stretched(options.promiseMs)) return // an earlier life may have promised
+        if (t - voteAskedAt >= VOTE_RETRY_MS) askVotes(t, record)
+    }
+
+    private fun askVotes(t: Long, record: LeadRecord) {
+        voteAskedAt = t
+        voteSeq++
+        votes.fill(false)
+        for (p in peers.indices) desk.emit(Effect.Send(p, PeerMessage.VoteAsk(record.generation + 1, seenStamp, voteSeq)))
+    }
+
+    private fun read() {
+        reading = true
+        desk.state(StateOp.Read(LeadRecord.KEY)) { reply ->
+            reading = false
+            val t = desk.steady
+            readDueAt = t + options.leaderRenewMs
+            if (role == Role.FOLLOWER) onRead(reply, t)
+        }
+    }
+
+    private fun onRead(reply: StateReply, t: Long) {
+        when (reply) {
+            is StateReply.Found -> {
+                servedAt = t
+                try {
+                    onRecord(LeadRecord.of(reply.row), reply.row.stamp, t)
+                } catch (e: Malformed) {
+                    desk.warn("the leadership record is unreadable: ${e.message}")
+                }
+            }
+            StateReply.Missing -> {
+                servedAt = t
+                seen = null
+                seenStamp = 0
+                stand("no record yet")
+            }
+            else -> readDueAt = t + RETRY_MS
+        }
+    }
+
+    private fun onRecord(record: LeadRecord, stamp: Long, t: Long) {
+        if (stamp != seenStamp) {
+            seenStamp = stamp
+            seenSince = t
+            if (stamp > votedStamp && record.generation < votedGeneration) votedGeneration = record.generation
+        }
+        seen = record
+        if (record.generation > generation) generation = record.generation
+        if (record.owner == label) {
+            if (record.incarnation == incarnation && record.generation != ledGeneration) {
+                // Our own take-over, applied after we had stopped waiting for its reply.
+                becomeLeader(record, stamp, seenSince - stretched(options.leaderLeaseMs))
+            } else {
+                // An earlier life has ended, and an earlier term of this life was given up: nobody holds that lease.
+                // The generation rises all the same, since attempt numbers and tokens must not come twice.
+                stand("this controller led before")
+            }
+        }
+    }
+
+    private fun stand(why: String) {
+        val old = seen
+        val record = LeadRecord(label, incarnation, maxOf(old?.generation ?: 0, generation) + 1, 0)
+        role = Role.STANDING
+        // Our own vote binds us like any other: no promise to an older generation while this may still be applied.
+        votedGeneration = maxOf(votedGeneration, record.generation)
+        votedStamp = maxOf(votedStamp, seenStamp)
+        desk.info("standing for generation ${record.generation}: $why")
+        val sentAt = desk.steady
+        val commit = StateOp.Commit(listOf(Condition(LeadRecord.KEY, seenStamp)), listOf(Change(LeadRecord.KEY, record.value())))
+        desk.state(commit) { reply ->
+            role = Role.FOLLOWER
+            voteAskedAt = NEVER
+            when (reply) {
+                is StateReply.Committed -> {
+                    servedAt = desk.steady
+                    becomeLeader(record, reply.revision, sentAt)
+                }
+                else -> readDueAt = desk.steady
+            }
+        }
+    }
+
+    private fun becomeLeader(record: LeadRecord, stamp: Long, at: Long) {
+        role = Role.LEADER
+        generation = record.generation
+        ledGeneration = generation
+        renewedAt = at
+        failingSince = NEVER
+        leaderPeer = -1
+        promises.fill(NEVER)
+        servedElsewhereSince.fill(NEVER)
+        promiseAskedAt = NEVER
+        desk.info("leading generation $generation")
+        events.onElected(generation, stamp, record.writes)
+        lead(desk.steady)
+    }
+
+    private fun lead(t: Long) {
+        if (servedElsewhere(t)) {
+            if (!entitled()) depose("the state service serves others but not this controller")
+            return
+        }
+        if (t - promiseAskedAt < PROMISE_EVERY_MS) return
+        promiseAskedAt = t
+        promiseSeq++
+        promiseSends[(promiseSeq % SENDS).toInt()] = t
+        for (p in peers.indices) desk.emit(Effect.Send(p, PeerMessage.PromiseAsk(generation, promiseSeq, ready)))
+    }
+
+    /** Set once the leader has rebuilt its view and takes users' requests. */
+    var ready = false
+
+    /** A write that was sent at [sentAt] was confirmed: the lease runs from then. */
+    fun renewed(sentAt: Long) {
+        if (sentAt > renewedAt) renewedAt = sentAt
+        failingSince = NEVER
+        servedAt = desk.steady
+    }
+
+    fun writeFailed() {
+        if (failingSince == NEVER) failingSince = desk.steady
+    }
+
+    /** Someone else's record stands where ours should: stop at once. */
+    fun depose(why: String) {
+        if (role != Role.LEADER) return
+        desk.info("no longer leading generation $generation: $why")
+        role = Role.FOLLOWER
+        ready = false
+        seen = null
+        seenStamp = -1
+        seenSince = desk.steady
+        readDueAt = desk.steady
+        events.onDeposed()
+    }
+
+    /** Peers say that the state service serves them while it has been refusing us: this is no outage, so make way. */
+    private fun servedElsewhere(t: Long): Boolean {
+        if (failingSince == NEVER || t - failingSince < options.leaderLeaseMs) return false
+        return servedElsewhereSince.any { it != NEVER && t - it > MAKE_WAY_MS }
+    }
+
+    private fun promisedToMe(): Long {
+        if (majority == 1) return Long.MAX_VALUE
+        val sorted = promises.sortedArray()
+        return sorted[sorted.size - (majority - 1)]
+    }
+
+    fun onPeer(from: Int, message: PeerMessage) {
+        val t = desk.steady
+        when (message) {
+            is PeerMessage.PromiseAsk -> onPromiseAsk(from, message, t)
+            is PeerMessage.Promise -> onPromise(from, message, t)
+            is PeerMessage.VoteAsk -> onVoteAsk(from, message, t)
+            is PeerMessage.Vote -> onVote(from, message)
+            else -> Unit
+        }
+    }
+
+    private fun onPromiseAsk(from: Int, ask: PeerMessage.PromiseAsk, t: Long) {
+        val granted = ask.generation >= generation && ask.generation >= votedGeneration && role == Role.FOLLOWER
+        if (granted) {
+            generation = ask.generation
+            promisedUntil = maxOf(promisedUntil, t + options.promiseMs)
+            leaderPeer = from
+            leaderHeardAt = t
+            leaderReady = ask.ready
+        }
+        val served = t - servedAt < options.leaderRenewMs * 2
+        desk.emit(Effect.Send(from, PeerMessage.Promise(ask.generation, ask.seq, granted, served)))
+    }
+
+    private fun onPromise(from: Int, promise: PeerMessage.Promise, t: Long) {
+        if (role != Role.LEADER || promise.generation != generation) return
+        if (promise.seq <= promiseSeq - SENDS) return
+        val sentAt = promiseSends[(promise.seq % SENDS).toInt()]
+        if (promise.granted) promises[from] = maxOf(promises[from], sentAt + shrunk(options.promiseMs))
+        if (!promise.stateServed) servedElsewhereSince[from] = NEVER
+        else if (servedElsewhereSince[from] == NEVER) servedElsewhereSince[from] = t
+    }
+
+    private fun onVoteAsk(from: Int, ask: PeerMessage.VoteAsk, t: Long) {
+        val free = t >= promisedUntil && t - startedAt >= stretched(options.promiseMs) && role != Role.LEADER
+        val granted = free && ask.generation > generation && ask.stamp >= seenStamp
+        if (granted) {
+            votedGeneration = maxOf(votedGeneration, ask.generation)
+            votedStamp = maxOf(votedStamp, ask.stamp)
+        }
+        desk.emit(Effect.Send(from, PeerMessage.Vote(ask.generation, ask.seq, granted)))
+    }
+
+    private fun onVote(from: Int, vote: PeerMessage.Vote) {
+        if (role != Role.FOLLOWER || vote.seq != voteSeq || !vote.granted || desk.steady < promisedUntil) return
+        if (vote.generation != (seen?.generation ?: return) + 1) return
+        votes[from] = true
+        if (votes.count { it } + 1 >= majority && desk.steady - seenSince >= stretched(options.leaderLeaseMs)) stand("elected by peers")
+    }
+
+    /** Spreads candidates a little, so that they rarely stand at once. */
+    private fun standOffset(): Long = peers.count { it < label } * STAND_STEP_MS
+
+    private fun shrunk(ms: Long): Long = ms - ms / 500 - 10
+
+    private fun stretched(ms: Long): Long = ms + ms / 500 + 10
+
+    private companion object {
+        const val NEVER = Long.MIN_VALUE / 4
+        const val SENDS = 64
+        const val PROMISE_EVERY_MS = 500L
+        const val VOTE_RETRY_MS = 300L
+        const val RETRY_MS = 250L
+        const val STAND_STEP_MS = 120L
+        const val HEARD_MS = 2500L
+        const val MAKE_WAY_MS = 2000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Names.kt
@@ -0,0 +1,13 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.model.Interner
+
+/** The interners at the door of one controller. */
+class Names {
+    val jobs = Interner()
+    val teams = Interner()
+    val types = Interner()
+    val zones = Interner()
+    val images = Interner()
+    val machines = Interner()
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -0,0 +1,147 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.model.Resources
+import org.chalkhollow.settings.OperatorSettings
+
+/**
+ * Owns which ready tasks go where. A job's tasks are alike, so they are decided as a class: one pass over the machines that
+ * fit gives each as many as it has room for, best fit first among a sample, all machines if the sample has no room.
+ */
+class Placement(
+    private val desk: Desk,
+    private val jobs: JobTable,
+    private val quotas: Quotas,
+    private val fleet: Fleet,
+    private val options: OperatorSettings,
+) {
+    /** A class of tasks that found no room, for the fleet to rent by. */
+    class Unplaced(val job: OpenJob, val count: Int)
+
+    var unplaced: List<Unplaced> = emptyList()
+        private set
+
+    /** Room per machine as this round sees it, counting what the round has given away. */
+    private val rooms = HashMap<Machine, Resources>()
+
+    /** Jobs with ready tasks, most urgent first. */
+    fun order(): List<OpenJob> {
+        val waiting = jobs.open.filter { it.placeable && !it.cancelling && it.notBefore <= desk.steady }
+        return waiting.sortedWith(
+            compareBy({ it.spec.priority.ordinal }, { if (withinGuarantee(it)) 0 else 1 }, { it.dueWall }, { it.acceptedWall }, { it.entry.id }),
+        )
+    }
+
+    fun withinGuarantee(job: OpenJob): Boolean = quotas.guaranteed(job.team, job.each) > 0
+
+    fun round(): List<Allocation> {
+        rooms.clear()
+        val machines = fleet.placeable()
+        for (m in machines) rooms[m] = m.room(fleet.types)
+        val out = ArrayList<Allocation>()
+        val left = ArrayList<Unplaced>()
+        val given = HashMap<Int, Double>() // by team, in this round
+        val givenCards = HashMap<Int, Double>()
+        for (job in order()) {
+            var want = minOf(job.ready.cardinality(), headroom(job, given, givenCards))
+            if (job.failedOn.size > 2 && job.failures > 0) want = minOf(want, 1) // a probe, not the whole array
+            if (want <= 0) continue
+            val placed = place(job, want, machines, out)
+            given.merge(job.team, placed * job.each.cpus, Double::plus)
+            givenCards.merge(job.team, placed * job.each.cards, Double::plus)
+            if (placed < want) left.add(Unplaced(job, want - placed))
+        }
+        unplaced = left
+        return out
+    }
+
+    private fun headroom(job: OpenJob, given: Map<Int, Double>, givenCards: Map<Int, Double>): Int {
+        val extra = Resources(given[job.team] ?: 0.0, givenCards[job.team] ?: 0.0, 0.0)
+        return quotas.headroom(job.team, job.each, extra)
+    }
+
+    private fun place(job: OpenJob, want: Int, machines: List<Machine>, out: MutableList<Allocation>): Int {
+        val zones = ZoneRule(job, fleet)
+        if (zones.blocked) return 0
+        val fits = machines.filter { allowed(job, it) && job.each.countIn(rooms.getValue(it)) > 0 }
+        if (fits.isEmpty()) return 0
+        val ordered = sample(fits, want, job).sortedWith(
+            compareBy({ fleet.size(it) }, { if (job.image >= 0 && job.image !in it.images) 1 else 0 }, { rooms.getValue(it).cpus }, { it.id }),
+        )
+        if (job.spec.together) zones.chooseZone(ordered, rooms)
+        var left = want
+        var next = job.ready.nextSetBit(0)
+        for (m in ordered) {
+            if (left == 0) break
+            val n = minOf(left, job.each.countIn(rooms.getValue(m)), zones.roomIn(m.zone))
+            if (n <= 0) continue
+            val tasks = IntArray(n)
+            for (i in 0 until n) {
+                tasks[i] = next
+                next = job.ready.nextSetBit(next + 1)
+            }
+            out.add(Allocation(job, m, tasks))
+            zones.take(m.zone, n)
+            val room = rooms.getValue(m)
+            rooms[m] = Resources(room.cpus - n * job.each.cpus, room.cards - n * job.each.cards, room.memoryGb - n * job.each.memoryGb)
+            if (job.image >= 0) m.images.add(job.image)
+            left -= n
+        }
+        return want - left
+    }
+
+    /** Some machines that fit, from a random place on; all of them when the sample has too little room. */
+    private fun sample(fits: List<Machine>, want: Int, job: OpenJob): List<Machine> {
+        if (fits.size <= options.sampleSize) return fits
+        val start = desk.random.nextInt(fits.size)
+        val some = List(options.sampleSize) { fits[(start + it) % fits.size] }
+        return if (some.sumOf { job.each.countIn(rooms.getValue(it)) } >= want) some else fits
+    }
+
+    private fun allowed(job: OpenJob, m: Machine): Boolean = fleet.allows(job, m.type, m.zone, m.spot) && m.id !in job.failedOn
+
+    /** Whether a machine of this type could ever run a task of this job. */
+    companion object {
+        fun fitsType(job: OpenJob, type: Int, machineType: MachineType): Boolean =
+            (job.types == null || type in job.types) && job.each.fitsIn(machineType.room)
+    }
+}
+
+/** `together` and `spread`, counted against every attempt that may be on a machine, wherever it may be. */
+class ZoneRule(private val job: OpenJob, fleet: Fleet) {
+    private val perZone = HashMap<Int, Int>()
+    private var unknown = 0
+    private var only = -1
+    private val most = (job.spec.tasks + 1) / 2
+
+    init {
+        if (job.spec.together || job.spec.spread) {
+            for (m in fleet.machines) {
+                val n = m.attempts.count { it.job === job && it.phase != Attempt.Phase.EXITED }
+                if (n == 0) continue
+                if (m.zone < 0) unknown += n else perZone.merge(m.zone, n, Int::plus)
+            }
+            if (job.spec.together && perZone.isNotEmpty()) only = perZone.keys.first()
+        }
+    }
+
+    /** A task may be in a zone that is not known: `together` has to wait. */
+    val blocked: Boolean get() = job.spec.together && (unknown > 0 || perZone.size > 1)
+
+    fun chooseZone(machines: List<Machine>, rooms: Map<Machine, Resources>) {
+        if (only >= 0) return
+        val room = HashMap<Int, Int>()
+        for (m in machines) room.merge(m.zone, job.each.countIn(rooms.getValue(m)), Int::plus)
+        only = room.entries.maxByOrNull { it.value }?.key ?: -1
+    }
+
+    fun roomIn(zone: Int): Int = when {
+        job.spec.together && zone != only -> 0
+        job.spec.spread -> maxOf(0, most - unknown - (perZone[zone] ?: 0))
+        else -> Int.MAX_VALUE
+    }
+
+    fun take(zone: Int, n: Int) {
+        perZone.merge(zone, n, Int::plus)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -0,0 +1,242 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.model.JobState
+import org.chalkhollow.wire.Command
+import org.chalkhollow.wire.ExitCause
+import org.chalkhollow.wire.TaskReport
+import org.chalkhollow.wire.WorkerReport
+
+/**
+ * Owns what is known of attempts: reserved, marked, sent, on a machine, exited. An attempt is settled, and its task free to
+ * be placed again, only on proof that it runs nowhere and never will.
+ */
+class Settlement(
+    private val desk: Desk,
+    private val jobs: JobTable,
+    private val quotas: Quotas,
+    private val generation: () -> Long,
+) {
+    /** Set by the controller: an attempt's marker is needed no more. */
+    var onSettledMarker: (Marker) -> Unit = {}
+
+    /** Set by the controller: a machine has attempts whose markers are durable. */
+    var onMarked: (Machine) -> Unit = {}
+    var inDoubt = 0
+        private set
+
+    fun clear() {
+        inDoubt = 0
+    }
+
+    fun reserve(job: OpenJob, index: Int, number: Long, machine: Machine, marker: Marker?): Attempt {
+        val attempt = Attempt(job, index, number, machine, marker)
+        attempt.since = desk.steady
+        machine.attempts.add(attempt)
+        job.taken(index)
+        quotas.add(job.team, job.each)
+        if (marker != null) marker.outstanding++
+        return attempt
+    }
+
+    fun marked(attempts: List<Attempt>) {
+        val machines = LinkedHashSet<Machine>()
+        for (a in attempts) {
+            if (a.settled) continue
+            a.phase = Attempt.Phase.MARKED
+            if (a.machine.state != Machine.State.UP) settle(a) else machines.add(a.machine)
+        }
+        for (m in machines) onMarked(m)
+    }
+
+    /** Frees what the attempt held: it is on no machine, and the task is ready again unless it is done. */
+    private fun settle(a: Attempt) {
+        if (a.settled) return
+        if (a.phase != Attempt.Phase.EXITED) release(a)
+        a.settled = true
+        a.machine.attempts.remove(a)
+        a.marker?.let { if (!a.forgettable) onSettledMarker(it) }
+    }
+
+    private fun release(a: Attempt) {
+        if (a.onMachine && a.phase != Attempt.Phase.FETCHING) a.job.running--
+        quotas.remove(a.job.team, a.job.each)
+        a.job.released(a.index)
+    }
+
+    /** Everything on [machine] is certainly gone: deleted, lapsed, or in a new session. */
+    fun machineGone(machine: Machine) {
+        for (a in ArrayList(machine.attempts)) {
+            if (a.phase == Attempt.Phase.MARKING) continue // its marker decides: see marked()
+            if (a.phase == Attempt.Phase.EXITED && !a.forgettable) {
+                // Completed, and being recorded; the record does not need the machine.
+                continue
+            }
+            a.directPending = false
+            settle(a)
+        }
+    }
+
+    /**
+     * Takes in a report that is newer than all before it from this machine. Only a [beat] proves by silence that a start is
+     * not under way: the worker has one report in flight at a time, so it has taken or dropped every response before it.
+     */
+    fun reconcile(m: Machine, report: WorkerReport, beat: Boolean) {
+        val current = report.token >= generation()
+        val reported = HashMap<Long, TaskReport>(report.tasks.size * 2)
+        val unknown = ArrayList<TaskReport>()
+        val byTask = HashMap<Long, Attempt>()
+        for (a in m.attempts) byTask[key(a.job.entry.id, a.index) * 31 + a.number] = a
+        for (t in report.tasks) {
+            val entry = jobs.find(t.jobId)
+            val a = if (entry == null) null else byTask[key(entry.id, t.index) * 31 + t.attempt]
+            if (a == null) unknown.add(t) else reported[key(a.job.entry.id, a.index) * 31 + a.number] = t
+        }
+        for (a in ArrayList(m.attempts)) {
+            val t = reported[key(a.job.entry.id, a.index) * 31 + a.number]
+            if (t != null) present(a, t) else if (beat) absent(a, current)
+        }
+        m.orphans = unknown.filter { !adopt(m, it) }
+    }
+
+    private fun absent(a: Attempt, current: Boolean) {
+        when (a.phase) {
+            Attempt.Phase.MARKING, Attempt.Phase.MARKED -> Unit
+            Attempt.Phase.SENT -> when {
+                a.directPending -> Unit // the start may still be under way
+                a.inherited -> if (current) settle(a) // an older leader's start can no longer be obeyed
+                else -> a.phase = Attempt.Phase.MARKED // the response was dropped, and stays dropped
+            }
+            Attempt.Phase.EXITED -> if (a.forgettable) settle(a) else Unit
+            else -> if (!a.directPending && (current || !a.inherited)) settle(a)
+        }
+    }
+
+    private fun present(a: Attempt, t: TaskReport) {
+        when (t.phase) {
+            TaskReport.Phase.FETCHING -> enter(a, Attempt.Phase.FETCHING)
+            TaskReport.Phase.RUNNING -> enter(a, Attempt.Phase.RUNNING)
+            TaskReport.Phase.SAVING -> enter(a, Attempt.Phase.SAVING)
+            TaskReport.Phase.EXITED -> if (a.phase != Attempt.Phase.EXITED) exited(a, t.cause ?: ExitCause.ERROR)
+        }
+        if (a.job.image >= 0) {
+            a.machine.images.remove(a.job.image)
+            a.machine.images.add(a.job.image)
+        }
+    }
+
+    private fun enter(a: Attempt, phase: Attempt.Phase) {
+        if (a.phase == Attempt.Phase.EXITED || a.phase == phase) return
+        val ran = a.onMachine && a.phase != Attempt.Phase.FETCHING
+        a.phase = phase
+        val runs = phase != Attempt.Phase.FETCHING
+        if (runs && !ran) a.job.running++
+        if (!runs && ran) a.job.running--
+        a.since = desk.steady
+    }
+
+    private fun exited(a: Attempt, cause: ExitCause) {
+        release(a)
+        a.phase = Attempt.Phase.EXITED
+        val job = a.job
+        if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN) {
+            a.machine.failedJobs.clear()
+            if (!job.done.get(a.index)) {
+                job.failures = 0
+                jobs.taskDone(job, a.index)
+            }
+            job.unrecorded.add(a)
+            return
+        }
+        forgettable(a)
+        when (cause) {
+            ExitCause.ERROR -> failed(a)
+            ExitCause.FULL -> a.machine.fullUntil = desk.steady + FULL_MS
+            ExitCause.BUSY, ExitCause.NO_SUCH -> job.notBefore = maxOf(job.notBefore, desk.steady + RETRY_MS)
+            else -> Unit
+        }
+    }
+
+    private fun failed(a: Attempt) {
+        val job = a.job
+        a.machine.failedJobs.add(job.entry.id)
+        job.failedOn.add(a.machine.id)
+        job.failures++
+        // One machine's faults should not hold a job up; a job that fails wherever it goes waits longer and longer.
+        if (job.failedOn.size > 2) {
+            val wait = FAILED_MS shl minOf(job.failures / 3, 5)
+            job.notBefore = maxOf(job.notBefore, desk.steady + wait)
+        }
+        desk.debug("${job.spec.id}/${a.index} failed on ${a.machine.name}")
+    }
+
+    private fun forgettable(a: Attempt) {
+        if (a.forgettable) return
+        a.forgettable = true
+        a.marker?.let(onSettledMarker)
+    }
+
+    /** The completions of [done] in [job] are durable: the workers may forget them. */
+    fun recorded(job: OpenJob, done: java.util.BitSet) {
+        val iterator = job.unrecorded.iterator()
+        while (iterator.hasNext()) {
+            val a = iterator.next()
+            if (!done.get(a.index)) continue
+            iterator.remove()
+            forgettable(a)
+            if (a.machine.state != Machine.State.UP) settle(a)
+        }
+    }
+
+    /** A task on a machine that no marker of ours explains; false if it is only to be removed. */
+    private fun adopt(m: Machine, t: TaskReport): Boolean {
+        val job = jobs.find(t.jobId)?.open ?: return false
+        if (t.index >= job.spec.tasks) return false
+        if (t.phase == TaskReport.Phase.EXITED && t.cause != ExitCause.DONE) return false
+        if (t.phase != TaskReport.Phase.EXITED && (job.done.get(t.index) || job.live.get(t.index) > 0)) return false
+        val a = reserve(job, t.index, t.attempt, m, null)
+        a.inherited = true
+        a.phase = Attempt.Phase.SENT
+        present(a, t)
+        return true
+    }
+
+    /** What to tell [m] now; starts are repeated until they are seen, stops until they are obeyed. */
+    fun commands(m: Machine, startsAllowed: Boolean): List<Command> {
+        val out = ArrayList<Command>()
+        for (a in ArrayList(m.attempts)) {
+            if (out.size >= MOST_COMMANDS) break
+            val id = a.job.spec.id
+            val unwanted = a.job.cancelled || a.job.done.get(a.index)
+            when (a.phase) {
+                Attempt.Phase.MARKING -> Unit
+                Attempt.Phase.MARKED -> when {
+                    unwanted || m.draining || m.noticeAt != Machine.NEVER -> if (!a.directPending) settle(a)
+                    startsAllowed && !a.job.cancelling -> {
+                        a.phase = Attempt.Phase.SENT
+                        out.add(Command.Start(id, a.index, a.number))
+                    }
+                }
+                Attempt.Phase.SENT -> if (a.directPending && !a.inherited && !unwanted && startsAllowed) out.add(Command.Start(id, a.index, a.number))
+                Attempt.Phase.EXITED -> if (a.forgettable && !a.directPending) out.add(Command.Forget(id, a.index, a.number))
+                else -> if (unwanted) out.add(Command.Stop(id, a.index, a.number, 0.0))
+                else if (a.stopping) out.add(Command.Stop(id, a.index, a.number, a.job.spec.saveS + GRACE_S))
+            }
+        }
+        for (t in m.orphans) {
+            if (out.size >= MOST_COMMANDS) break
+            out.add(if (t.phase == TaskReport.Phase.EXITED) Command.Forget(t.jobId, t.index, t.attempt) else Command.Stop(t.jobId, t.index, t.attempt, 0.0))
+        }
+        m.orphans = emptyList()
+        return out
+    }
+
+    private fun key(job: Int, index: Int): Long = (job.toLong() shl 20) + index
+
+    private companion object {
+        const val FULL_MS = 3000L
+        const val RETRY_MS = 2000L
+        const val FAILED_MS = 1000L
+        const val MOST_COMMANDS = 400
+        const val GRACE_S = 1.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/core/StateLog.kt
@@ -0,0 +1,226 @@
+package org.chalkhollow.core
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.StateLimits
+import org.chalkhollow.wire.Change
+import org.chalkhollow.wire.Condition
+
+/** Changes that belong into one transaction, and what to do once they are durable. */
+class Write(val changes: List<Change>, val onDurable: () -> Unit)
+
+/**
+ * The leader's only way to write: one transaction at a time, each conditional on the stamp of the leadership record, which
+ * it raises, and on the stamps of the keys it changes. So a deposed leader's late writes fail, every write renews the lease,
+ * and a lost reply is resolved by looking whether the record counts one write more.
+ */
+class StateLog(
+    private val desk: Desk,
+    private val limits: StateLimits,
+    private val options: OperatorSettings,
+    private val leadership: Leadership,
+) {
+    /** Gives writes when asked, most urgent sources first; at most [Room] worth. */
+    fun interface Source {
+        fun next(room: Room): Write?
+    }
+
+    /** What is left in the transaction being put together. */
+    class Room(var ops: Int, var bytes: Int)
+
+    private val sources = ArrayList<Source>()
+    private val stamps = Object2LongOpenHashMap<String>()
+    private var record = LeadRecord("", 0, 0, 0)
+    private var recordStamp = 0L
+    private var term = 0
+    private var active = false
+    private var batch: Batch? = null
+    private var tokens = 0.0
+    private var refilledAt = 0L
+    private var lastSentAt = 0L
+    private var retryAt = 0L
+    private var failingSince = -1L
+
+    private class Batch(val writes: List<Write>, val op: StateOp.Commit, val firstSentAt: Long) {
+        var uncertain = false
+    }
+
+    fun source(source: Source) {
+        sources.add(source)
+    }
+
+    fun start(lead: LeadRecord, stamp: Long) {
+        stop()
+        record = lead
+        recordStamp = stamp
+        active = true
+        tokens = budget() / 2 // the one before us may have spent from this second's budget
+        refilledAt = desk.steady
+        lastSentAt = 0
+    }
+
+    fun stop() {
+        term++
+        active = false
+        batch = null
+        stamps.clear()
+        failingSince = -1
+        retryAt = 0
+    }
+
+    /** Notes the stamp of a key that was read. */
+    fun seen(key: String, stamp: Long) {
+        stamps.put(key, stamp)
+    }
+
+    /** Drops the stamp of a key that will never be written again. */
+    fun retire(key: String) {
+        stamps.removeLong(key)
+    }
+
+    /** Whether writes have failed for long enough that new requests should be turned away at once. */
+    fun stalled(): Boolean = failingSince >= 0 && desk.steady - failingSince > STALL_MS
+
+    /** Puts the next transaction together and sends it, when none is in flight and the budget allows. */
+    fun pump() {
+        if (!active) return
+        refill()
+        val waiting = batch
+        if (waiting != null) {
+            if (retryAt > 0 && desk.steady >= retryAt) {
+                retryAt = 0
+                send(waiting)
+            }
+            return
+        }
+        val renewalDue = desk.steady - lastSentAt >= options.leaderRenewMs
+        if (tokens < if (renewalDue) 1.0 else 2.0) return
+        val room = Room(minOf(limits.txnOps - 1, tokens.toInt() - 1), TXN_BYTES)
+        val writes = ArrayList<Write>()
+        for (source in sources) {
+            while (room.ops > 0) {
+                val write = source.next(room) ?: break
+                writes.add(write)
+                room.ops -= write.changes.size
+                room.bytes -= write.changes.sumOf { Sizes.of(it) }
+            }
+        }
+        if (writes.isEmpty() && !renewalDue) return
+        send(compose(writes))
+    }
+
+    private fun compose(writes: List<Write>): Batch {
+        record = record.copy(writes = record.writes + 1)
+        val conditions = ArrayList<Condition>()
+        val changes = ArrayList<Change>()
+        conditions.add(Condition(LeadRecord.KEY, recordStamp))
+        changes.add(Change(LeadRecord.KEY, record.value()))
+        for (write in writes) {
+            for (change in write.changes) {
+                conditions.add(Condition(change.key, stamps.getLong(change.key)))
+                changes.add(change)
+            }
+        }
+        tokens -= changes.size
+        return Batch(writes, StateOp.Commit(conditions, changes), desk.steady).also { batch = it }
+    }
+
+    private fun send(b: Batch) {
+        lastSentAt = desk.steady
+        val sentAt = desk.steady
+        val inTerm = term
+        desk.state(b.op) { reply -> if (term == inTerm) onReply(b, reply, sentAt) }
+    }
+
+    private fun onReply(b: Batch, reply: StateReply, sentAt: Long) {
+        when (reply) {
+            is StateReply.Committed -> committed(b, reply.revision, if (b.uncertain) b.firstSentAt else sentAt)
+            is StateReply.Conflict -> lookAtRecord(b)
+            StateReply.NoResponse -> {
+                b.uncertain = true
+                failed()
+                again(b, 0)
+            }
+            is StateReply.Rejected -> {
+                desk.emit(Effect.Note(Effect.Level.ERROR, "the state service rejects a transaction: ${reply.why}"))
+                failed()
+                again(b, RETRY_MS * 4)
+            }
+            else -> {
+                failed()
+                again(b, RETRY_MS)
+            }
+        }
+    }
+
+    private fun again(b: Batch, afterMs: Long) {
+        retryAt = desk.steady + afterMs
+        tokens = maxOf(0.0, tokens - b.op.changes.size) // a failing transaction counts as well
+        if (afterMs == 0L) pump()
+    }
+
+    private fun failed() {
+        if (failingSince < 0) failingSince = desk.steady
+        leadership.writeFailed()
+    }
+
+    /** The conditions did not hold: either an earlier sending of the same transaction was applied, or someone else leads. */
+    private fun lookAtRecord(b: Batch) {
+        val inTerm = term
+        desk.state(StateOp.Read(LeadRecord.KEY)) { reply ->
+            if (term != inTerm) return@state
+            when (reply) {
+                is StateReply.Found -> {
+                    val stands = LeadRecord.of(reply.row)
+                    if (stands == record) committed(b, reply.row.stamp, b.firstSentAt)
+                    else leadership.depose("generation ${stands.generation} of ${stands.owner} stands")
+                }
+                StateReply.Missing -> leadership.depose("the leadership record is gone")
+                else -> {
+                    failed()
+                    again(b, RETRY_MS)
+                }
+            }
+        }
+    }
+
+    private fun committed(b: Batch, revision: Long, sentAt: Long) {
+        batch = null
+        retryAt = 0
+        failingSince = -1
+        recordStamp = revision
+        for (change in b.op.changes) {
+            if (change.value == null) stamps.removeLong(change.key) else stamps.put(change.key, revision)
+        }
+        leadership.renewed(sentAt)
+        for (write in b.writes) write.onDurable()
+        pump()
+    }
+
+    private fun refill() {
+        val t = desk.steady
+        tokens = minOf(budget(), tokens + (t - refilledAt) * budget() / 1000.0)
+        refilledAt = t
+    }
+
+    private fun budget(): Double = limits.writeRps * 0.9
+
+    private companion object {
+        const val RETRY_MS = 250L
+        const val STALL_MS = 1000L
+        const val TXN_BYTES = 40 * 1024
+    }
+}
+
+/** Estimates, never too low, of how large a value is as JSON. */
+object Sizes {
+    fun of(change: Change): Int = 48 + change.key.length + of(change.value)
+
+    fun of(value: Any?): Int = when (value) {
+        null -> 5
+        is String -> value.length + 3 + value.count { it < ' ' || it == '"' || it == '\\' || it > '~' } * 5
+        is Map<*, *> -> 3 + value.entries.sumOf { of(it.key) + of(it.value) + 2 }
+        is List<*> -> 3 + value.sumOf { of(it) + 1 }
+        else -> 24
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
@@ -0,0 +1,135 @@
+package org.chalkhollow.mesh
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import org.chalkhollow.settings.Address
+import org.chalkhollow.settings.Peer
+
+/** CBOR form of the messages between controllers. */
+@OptIn(ExperimentalSerializationApi::class)
+object Frames {
+    const val MAX = 256 * 1024
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(PeerMessage.serializer(), message)
+
+    /** Null for what is no message of ours. */
+    fun decode(bytes: ByteArray): PeerMessage? = try {
+        cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+    } catch (e: SerializationException) {
+        null
+    } catch (e: IllegalArgumentException) {
+        null
+    }
+}
+
+/** Connections to the other controllers: each sends on the one it opened and receives on those it accepted. */
+class MeshNode(
+    private val scope: CoroutineScope,
+    private val selector: SelectorManager,
+    private val listen: Address,
+    private val peers: List<Peer>,
+    private val hello: PeerMessage.Hello,
+    private val receive: (Int, PeerMessage) -> Unit,
+) {
+    private val queues = peers.map { Channel<PeerMessage>(QUEUE, BufferOverflow.DROP_OLDEST) }
+
+    fun send(peer: Int, message: PeerMessage) {
+        queues[peer].trySend(message)
+    }
+
+    suspend fun bind(): ServerSocket = aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true }
+
+    fun run(server: ServerSocket) {
+        scope.launch {
+            while (true) {
+                val socket = try {
+                    server.accept()
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Throwable) {
+                    delay(RETRY_MS)
+                    continue
+                }
+                scope.launch { hear(socket) }
+            }
+        }
+        for (i in peers.indices) scope.launch { speak(i) }
+    }
+
+    private suspend fun hear(socket: Socket) {
+        try {
+            val input = socket.openReadChannel()
+            var peer = -1
+            while (true) {
+                val size = input.readInt()
+                if (size !in 1..Frames.MAX) break
+                val message = Frames.decode(input.readByteArray(size)) ?: continue
+                if (message is PeerMessage.Hello) peer = peers.indexOfFirst { it.label == message.label }
+                else if (peer >= 0) receive(peer, message)
+                else break
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Throwable) {
+            // The peer went away; it connects again when it is back.
+        } finally {
+            socket.close()
+        }
+    }
+
+    private suspend fun speak(i: Int) {
+        val queue = queues[i]
+        while (true) {
+            var socket: Socket? = null
+            try {
+                socket = withTimeoutOrNull(CONNECT_MS) {
+                    aSocket(selector).tcp().connect(peers[i].address.host, peers[i].address.port) { noDelay = true }
+                }
+                if (socket != null) {
+                    while (queue.tryReceive().isSuccess) Unit // what waited was for another life or too long ago
+                    val output = socket.openWriteChannel(autoFlush = false)
+                    var message: PeerMessage = hello
+                    while (true) {
+                        val bytes = Frames.encode(message)
+                        output.writeInt(bytes.size)
+                        output.writeByteArray(bytes)
+                        output.flush()
+                        message = queue.receive()
+                    }
+                }
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Throwable) {
+                // Refused or reset: try again shortly.
+            } finally {
+                socket?.close()
+            }
+            delay(RETRY_MS)
+        }
+    }
+
+    private companion object {
+        const val QUEUE = 256
+        const val CONNECT_MS = 1000L
+        const val RETRY_MS = 300L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/model/Jobs.kt
@@ -0,0 +1,68 @@
+package org.chalkhollow.model
+
+/** Priority classes, most urgent first; the ordinal is the rank. */
+enum class Priority { PRODUCTION, HIGH, STANDARD, BEST_EFFORT }
+
+/** What one task takes of its machine. */
+data class Resources(val cpus: Double, val cards: Double, val memoryGb: Double) {
+    fun fitsIn(room: Resources): Boolean =
+        cpus <= room.cpus + EPSILON && cards <= room.cards + EPSILON && memoryGb <= room.memoryGb + EPSILON
+
+    /** How many tasks of this size fit into [room]. */
+    fun countIn(room: Resources): Int {
+        var n = Int.MAX_VALUE.toDouble()
+        if (cpus > 0) n = minOf(n, (room.cpus + EPSILON) / cpus)
+        if (cards > 0) n = minOf(n, (room.cards + EPSILON) / cards)
+        if (memoryGb > 0) n = minOf(n, (room.memoryGb + EPSILON) / memoryGb)
+        return maxOf(0, n.toInt())
+    }
+
+    companion object {
+        const val EPSILON = 1e-6
+    }
+}
+
+/** A job as its user described it; names that the core compares are kept as text only here and at the door. */
+data class JobSpec(
+    val id: String,
+    val workload: String,
+    val team: String,
+    val priority: Priority,
+    val tasks: Int,
+    val each: Resources,
+    val image: String?,
+    val imageGb: Double,
+    val types: List<String>?,
+    val zone: String?,
+    val together: Boolean,
+    val spread: Boolean,
+    val spotAllowed: Boolean,
+    val expectedS: Double,
+    val checkpointS: Double,
+    val saveS: Double,
+    val dueS: Double?,
+)
+
+/** The state of a job as it is written down; only what is durable is ever told. */
+enum class JobState { OPEN, DONE, CANCELLED }
+
+/** A team's guarantee and its limit. */
+data class Team(
+    val name: String,
+    val cpus: Double,
+    val cpusMax: Double,
+    val cards: Double,
+    val cardsMax: Double,
+)
+
+/** A machine type of the cloud's catalog. */
+data class MachineType(
+    val name: String,
+    val room: Resources,
+    val imageGbPerS: Double,
+    val cacheGb: Double,
+    val price: Double,
+    val spotPrice: Double,
+    val bootS: Double,
+    val zones: List<String>,
+)
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
@@ -0,0 +1,28 @@
+package org.chalkhollow.runtime
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import org.chalkhollow.core.Controller
+
+/** Counters by Micrometer, shown as text at `/metrics`. */
+class Meters {
+    private val registry = SimpleMeterRegistry()
+    private val malformed = registry.counter("chalkhollow.reports.malformed")
+
+    fun answered(status: Int) = registry.counter("chalkhollow.answers", "status", status.toString()).increment()
+
+    fun malformed() = malformed.increment()
+
+    /** All meters, one a line. */
+    fun text(view: Controller.View): String = buildString {
+        appendLine("chalkhollow_leading ${if (view.leading) 1 else 0}")
+        appendLine("chalkhollow_generation ${view.generation}")
+        appendLine("chalkhollow_jobs_open ${view.openJobs}")
+        appendLine("chalkhollow_jobs_known ${view.jobs}")
+        appendLine("chalkhollow_machines ${view.machines}")
+        for (meter in registry.meters) {
+            val tags = meter.id.tags.joinToString(",") { "${it.key}=\"${it.value}\"" }
+            val name = meter.id.name.replace('.', '_') + "_total" + if (tags.isEmpty()) "" else "{$tags}"
+            for (sample in meter.measure()) appendLine("$name ${sample.value}")
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -0,0 +1,181 @@
+package org.chalkhollow.runtime
+
+import com.google.common.cache.CacheBuilder
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.chalkhollow.core.Controller
+import org.chalkhollow.core.Effect
+import org.chalkhollow.core.Input
+import org.chalkhollow.core.Now
+import org.chalkhollow.core.UserAsk
+import org.chalkhollow.mesh.MeshNode
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.settings.Address
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.PlatformSettings
+import org.chalkhollow.wire.Malformed
+import org.chalkhollow.wire.UserCodec
+import org.chalkhollow.wire.WorkerCodec
+import org.slf4j.LoggerFactory
+
+/**
+ * Runs one controller: feeds it inputs, one at a time on one thread, and carries out its effects. Decides nothing. [scope]
+ * must be confined to a single thread.
+ */
+class Node(
+    private val scope: CoroutineScope,
+    private val settings: PlatformSettings,
+    options: OperatorSettings,
+    incarnation: Long,
+) {
+    private val log = LoggerFactory.getLogger("chalkhollow")
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val controller = Controller(settings, options, incarnation, now())
+    private val meters = Meters()
+    private val state = StateClient(HttpLink(scope, selector, settings.state, STATE_BODY, 4), settings.stateLimits.rps * 0.5)
+    private val cloud = CloudClient(HttpLink(scope, selector, settings.cloud, STATE_BODY, 2))
+    private val workerLinks = CacheBuilder.newBuilder().maximumSize(MAX_WORKER_LINKS)
+        .removalListener<String, HttpLink> { it.value?.close() }.build<String, HttpLink>()
+    private val workers = WorkerClient(::workerLink)
+    private val mesh = MeshNode(
+        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation),
+    ) { from, message -> feed(Input.Peer(from, message)) }
+    private val server = HttpServer(
+        scope, selector, settings.clientListen, maxOf(16, settings.maxConnections * 7 / 10), { steady() }, ::handle,
+    )
+    private val calls = HashMap<Int, CompletableDeferred<HttpReply>>()
+    private var nextCall = 0
+    private var timer: Job? = null
+
+    /** Binds the ports and starts; throws when one of them is taken. */
+    suspend fun start() {
+        val mesh = try {
+            mesh.bind()
+        } catch (e: Exception) {
+            throw java.io.IOException("cannot listen on ${settings.meshAddress}: ${e.message}")
+        }
+        val users = try {
+            server.bind()
+        } catch (e: Exception) {
+            throw java.io.IOException("cannot listen on ${settings.clientListen}: ${e.message}")
+        }
+        this.mesh.run(mesh)
+        server.serve(users)
+        log.info("{} listens on {}", settings.label, settings.clientListen)
+        feed(Input.Tick)
+    }
+
+    private fun feed(input: Input) {
+        for (effect in controller.step(now(), input)) carryOut(effect)
+    }
+
+    private fun carryOut(effect: Effect) {
+        when (effect) {
+            is Effect.Answer -> calls.remove(effect.call)?.complete(HttpReply(effect.status, effect.body, effect.retryAfterS))
+            is Effect.State -> run { val reply = state.run(effect.op); Input.State(effect.ticket, reply) }
+            is Effect.Cloud -> run { Input.Cloud(effect.ticket, cloud.run(effect.op)) }
+            is Effect.Direct -> run { Input.Direct(effect.ticket, workers.run(effect)) }
+            is Effect.Send -> mesh.send(effect.peer, effect.message)
+            is Effect.Timer -> {
+                timer?.cancel()
+                timer = scope.launch {
+                    delay(effect.at - steady())
+                    timer = null
+                    feed(Input.Tick)
+                }
+            }
+            is Effect.Note -> note(effect)
+        }
+    }
+
+    private fun run(work: suspend () -> Input) {
+        scope.launch(start = CoroutineStart.DEFAULT) { feed(work()) }
+    }
+
+    private fun note(n: Effect.Note) = when (n.level) {
+        Effect.Level.ERROR -> log.error(n.text)
+        Effect.Level.WARN -> log.warn(n.text)
+        Effect.Level.INFO -> log.info(n.text)
+        Effect.Level.DEBUG -> log.debug(n.text)
+    }
+
+    private suspend fun handle(method: String, uri: String, body: ByteArray): HttpReply {
+        val path = uri.substringBefore('?')
+        val reply = when {
+            path == "/up" -> only(method, "GET") { HttpReply(if (controller.takesRequests(now())) 200 else 503, null) }
+            path == "/agent/beat" -> only(method, "POST") { beat(body) }
+            path == "/work" -> only(method, "POST") { submit(body) }
+            path == "/metrics" -> only(method, "GET") { HttpReply(200, meters.text(controller.view).encodeToByteArray(), type = "text/plain; version=0.0.4") }
+            path.startsWith("/work/") -> job(method, path.substring("/work/".length))
+            else -> HttpReply(404, null)
+        }
+        meters.answered(reply.status)
+        return reply
+    }
+
+    private inline fun only(method: String, allowed: String, then: () -> HttpReply): HttpReply =
+        if (method == allowed) then() else HttpReply(405, null)
+
+    private suspend fun beat(body: ByteArray): HttpReply {
+        val report = try {
+            WorkerCodec.report(body)
+        } catch (e: Malformed) {
+            meters.malformed()
+            return HttpReply(400, null)
+        }
+        return call { Input.Report(it, report) }
+    }
+
+    private suspend fun submit(body: ByteArray): HttpReply {
+        val spec = try {
+            UserCodec.job(body)
+        } catch (e: Malformed) {
+            return HttpReply(400, null)
+        }
+        return call { Input.User(it, UserAsk.Submit(spec, body)) }
+    }
+
+    private suspend fun job(method: String, rest: String): HttpReply {
+        val id = rest.removeSuffix("/withdraw")
+        val withdraw = id.length != rest.length
+        if (id.isEmpty() || '/' in id) return HttpReply(404, null)
+        return when {
+            withdraw -> only(method, "POST") { call { Input.User(it, UserAsk.Withdraw(id)) } }
+            else -> only(method, "GET") { call { Input.User(it, UserAsk.Poll(id)) } }
+        }
+    }
+
+    private suspend fun call(input: (Int) -> Input): HttpReply {
+        if (calls.size >= MAX_CALLS) return HttpReply(503, null, 1)
+        val id = nextCall
+        nextCall = (nextCall + 1) and Int.MAX_VALUE
+        val answer = CompletableDeferred<HttpReply>()
+        calls[id] = answer
+        feed(input(id))
+        return answer.await()
+    }
+
+    private fun workerLink(address: String): HttpLink? {
+        val known = workerLinks.getIfPresent(address)
+        if (known != null) return known
+        val port = address.substringAfterLast(':', "").toIntOrNull() ?: return null
+        val link = HttpLink(scope, selector, Address(address.substringBeforeLast(':'), port), WORKER_BODY, 1)
+        workerLinks.put(address, link)
+        return link
+    }
+
+    private companion object {
+        const val STATE_BODY = 2 * 1024 * 1024
+        const val WORKER_BODY = 256 * 1024
+        const val MAX_WORKER_LINKS = 200L
+        const val MAX_CALLS = 2000
+        fun steady(): Long = System.nanoTime() / 1_000_000
+        fun now(): Now = Now(steady(), System.currentTimeMillis())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/wire/ServiceCodec.kt
@@ -0,0 +1,89 @@
+package org.chalkhollow.wire
+
+import org.chalkhollow.model.MachineType
+import org.chalkhollow.model.Resources
+
+/** One key of the state service. */
+data class Row(val key: String, val value: Any?, val stamp: Long)
+
+/** A page of keys. */
+data class Rows(val rows: List<Row>, val more: Boolean)
+
+/** A change in a transaction; a null [value] removes the key. */
+data class Change(val key: String, val value: Map<String, Any?>?)
+
+/** A condition: [key] has revision [stamp]; 0 means that it does not exist. */
+data class Condition(val key: String, val stamp: Long)
+
+/** A machine as the cloud lists it. */
+data class ListedMachine(
+    val name: String,
+    val address: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val status: Status,
+    val ageS: Double,
+) {
+    enum class Status { STARTING, RUNNING, FAILED }
+}
+
+/** A page of the cloud's machine list. */
+data class ListedPage(val machines: List<ListedMachine>, val more: Boolean)
+
+/** Bodies of the state service and of the cloud. */
+object ServiceCodec {
+    fun commit(conditions: List<Condition>, changes: List<Change>): Map<String, Any?> = mapOf(
+        "if" to conditions.map { mapOf("key" to it.key, "stamp" to it.stamp) },
+        "apply" to changes.map { if (it.value == null) mapOf("remove" to it.key) else mapOf("set" to it.key, "value" to it.value) },
+    )
+
+    fun revision(body: ByteArray): Long = Pack.decodeMap(body).long("ledger")
+
+    fun failedKeys(body: ByteArray): List<String> = Pack.decodeMap(body).texts("failed")
+
+    fun rows(body: ByteArray): Rows {
+        val f = Pack.decodeMap(body)
+        return Rows(f.maps("rows").map { Row(it.text("key"), it.map["value"], it.long("stamp")) }, f.flag("more"))
+    }
+
+    fun catalog(body: ByteArray): List<MachineType> = Pack.decodeMap(body).maps("flavours").map { f ->
+        MachineType(
+            name = f.text("sku"),
+            room = Resources(f.amount("vcpus"), f.numberOrNull("cards") ?: 0.0, f.amount("memoryGb")),
+            imageGbPerS = f.numberOrNull("pullGbPerS") ?: 0.1,
+            cacheGb = f.numberOrNull("localGb") ?: 0.0,
+            price = f.amount("price"),
+            spotPrice = f.numberOrNull("lowPrice") ?: f.amount("price"),
+            bootS = f.numberOrNull("readyS") ?: 60.0,
+            zones = f.texts("sites"),
+        )
+    }
+
+    fun rent(request: String, type: String, zone: String, spot: Boolean, count: Int): Map<String, Any?> =
+        mapOf("booking" to request, "flavour" to type, "site" to zone, "standby" to spot, "number" to count)
+
+    fun rented(body: ByteArray): List<String> = Pack.decodeMap(body).texts("hosts")
+
+    fun delete(names: List<String>): Map<String, Any?> = mapOf("hosts" to names)
+
+    fun machines(body: ByteArray): ListedPage {
+        val f = Pack.decodeMap(body)
+        return ListedPage(f.maps("hosts").map(::listed), f.flag("more"))
+    }
+
+    private fun listed(f: Fields) = ListedMachine(
+        name = f.text("nameId"),
+        address = f.textOrNull("address") ?: "",
+        type = f.text("flavour"),
+        zone = f.text("site"),
+        spot = f.flag("standby"),
+        status = when (f.text("status")) {
+            "starting" -> ListedMachine.Status.STARTING
+            "running" -> ListedMachine.Status.RUNNING
+            "failed" -> ListedMachine.Status.FAILED
+            else -> throw Malformed("field status is missing or invalid")
+        },
+        ageS = f.numberOrNull("ageS") ?: 0.0,
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/wire/UserCodec.kt
@@ -0,0 +1,74 @@
+package org.chalkhollow.wire
+
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.Priority
+import org.chalkhollow.model.Resources
+
+/** The users' side of the protocol: job descriptions in, job states out. */
+object UserCodec {
+    private const val MAX_TASKS = 100_000L
+    private const val MAX_NAME = 200
+
+    private val priorities = mapOf(
+        "production" to Priority.PRODUCTION,
+        "high" to Priority.HIGH,
+        "standard" to Priority.STANDARD,
+        "best_effort" to Priority.BEST_EFFORT,
+    )
+    private val priorityNames = priorities.entries.associate { (k, v) -> v to k }
+
+    /** Whether [id] has the form that users' job ids always have. */
+    fun validId(id: String): Boolean =
+        id.length in 3..64 && id.startsWith("j-") && (2 until id.length).all { id[it] in '0'..'9' }
+
+    fun job(bytes: ByteArray): JobSpec = job(Pack.decodeMap(bytes))
+
+    fun job(f: Fields): JobSpec {
+        val id = f.text("nameId")
+        if (!validId(id)) throw Malformed("field nameId is missing or invalid")
+        if (f.text("shape") != "batch") throw Malformed("field shape is missing or invalid")
+        val tasks = f.long("pieces")
+        if (tasks !in 1..MAX_TASKS) throw Malformed("field pieces is missing or invalid")
+        val types = if (f.has("flavours")) f.texts("flavours").onEach { short(it, "flavours") } else null
+        if (types != null && types.size > 64) throw Malformed("field flavours is missing or invalid")
+        return JobSpec(
+            id = id,
+            workload = short(f.text("workload"), "workload"),
+            team = short(f.text("owner"), "owner"),
+            priority = priorities[f.text("urgency")] ?: throw Malformed("field urgency is missing or invalid"),
+            tasks = tasks.toInt(),
+            each = Resources(f.amount("vcpus"), f.amount("cards"), f.amount("memoryGb")),
+            image = f.textOrNull("bundle")?.let { short(it, "bundle") },
+            imageGb = if (f.has("pullGb")) f.amount("pullGb") else 0.0,
+            types = types,
+            zone = f.textOrNull("site")?.let { short(it, "site") },
+            together = f.flag("together"),
+            spread = f.flag("spread"),
+            spotAllowed = f.flag("standby"),
+            expectedS = f.amount("expectedS"),
+            checkpointS = f.amount("snapshotS"),
+            saveS = f.amount("flushS"),
+            dueS = if (f.has("dueS")) f.amount("dueS") else null,
+        )
+    }
+
+    /** The same job as a map, in the form that [job] reads; it is also the form in which jobs are written down. */
+    fun map(spec: JobSpec): Map<String, Any?> = mapOf(
+        "nameId" to spec.id, "workload" to spec.workload, "owner" to spec.team, "shape" to "batch",
+        "urgency" to priorityNames.getValue(spec.priority), "pieces" to spec.tasks,
+        "vcpus" to spec.each.cpus, "cards" to spec.each.cards, "memoryGb" to spec.each.memoryGb,
+        "bundle" to spec.image, "pullGb" to spec.imageGb, "flavours" to spec.types, "site" to spec.zone,
+        "together" to spec.together, "spread" to spec.spread, "standby" to spec.spotAllowed,
+        "expectedS" to spec.expectedS, "snapshotS" to spec.checkpointS, "flushS" to spec.saveS, "dueS" to spec.dueS,
+    ).filterValues { it != null }
+
+    fun status(id: String, state: String): Map<String, Any?> = mapOf("nameId" to id, "status" to state)
+
+    fun progress(id: String, state: String, done: Int, running: Int): Map<String, Any?> =
+        mapOf("nameId" to id, "status" to state, "done" to done, "running" to running)
+
+    private fun short(text: String, name: String): String {
+        if (text.isEmpty() || text.length > MAX_NAME) throw Malformed("field $name is missing or invalid")
+        return text
+    }
+}
