Attempts on a machine are told apart exactly; a mixed key took one's completion for another's

Index i with number n + 31 and index i + 1 with number n came out the same, so a completed task could stand for one that was not.

--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -87,17 +87,18 @@
     fun reconcile(m: Machine, report: WorkerReport, beat: Boolean) {
         if (repeats(m, report)) return
         val current = report.token >= generation()
-        val reported = HashMap<Long, TaskReport>(report.tasks.size * 2)
+        // Attempts are told apart by all that names them. An earlier version mixed it into one number; where two came out the
+        // same, the one's completion was taken for the other's.
+        val known = HashMap<Identity, Attempt>(m.attempts.size * 2)
+        for (a in m.attempts) known[Identity(a.job.entry.id, a.index, a.number)] = a
+        val reported = HashMap<Attempt, TaskReport>(report.tasks.size * 2)
         val unknown = ArrayList<TaskReport>()
-        val byTask = HashMap<Long, Attempt>()
-        for (a in m.attempts) byTask[key(a.job.entry.id, a.index) * 31 + a.number] = a
         for (t in report.tasks) {
-            val entry = jobs.find(t.jobId)
-            val a = if (entry == null) null else byTask[key(entry.id, t.index) * 31 + t.attempt]
-            if (a == null) unknown.add(t) else reported[key(a.job.entry.id, a.index) * 31 + a.number] = t
+            val a = jobs.find(t.jobId)?.let { known[Identity(it.id, t.index, t.attempt)] }
+            if (a == null) unknown.add(t) else reported[a] = t
         }
         for (a in ArrayList(m.attempts)) {
-            val t = reported[key(a.job.entry.id, a.index) * 31 + a.number]
+            val t = reported[a]
             if (t != null) present(a, t) else if (beat) absent(a, current)
         }
         m.orphans = unknown.filter { !adopt(m, it) }
@@ -249,7 +250,7 @@
     /** Stops a task so that it saves its progress if it can. */
     fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, a.job.spec.saveS + GRACE_S)
 
-    private fun key(job: Int, index: Int): Long = (job.toLong() shl 20) + index
+    private data class Identity(val job: Int, val index: Int, val number: Long)
 
     private companion object {
         const val FULL_MS = 3000L
