What was on a machine that died or will be taken begins elsewhere at once, proved by a deletion

Now a machine that says nothing for half a lease and does not answer directly either is deleted, and the cloud's 200 is the proof; a machine past its notice likewise; and on a noticed machine what cannot be over in time is stopped at once. Where a third of a zone is silent nothing is deleted, since that is the network or ourselves.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -296,6 +296,7 @@
             a.directPending = true
         }
         m.directBusy = true
+        m.askedAt = desk.steady
         val inTerm = term
         val session = m.session
         val commands = stops.map { settlement.stop(it) } + starts.map { Command.Start(it.job.spec.id, it.index, it.number) }
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -36,7 +36,7 @@
     /** All teams together may use this much, and half again for the room that tasks leave over; what is beyond it would idle. */
     private val mostCpus = settings.teams.sumOf { it.cpusMax } * 1.5
     private val mostMachines = if (options.maxMachines == 0) Int.MAX_VALUE else options.maxMachines
-    private val hearing = Hearing(desk, settings.reportS)
+    private val hearing = Hearing(desk, settings.reportS, settings.leaseS)
     private var generation = 0L
     private var takenOverAt = 0L
     private var requests = 0L
@@ -133,9 +133,17 @@
     fun toBeAsked(m: Machine): Boolean =
         m.state == Machine.State.UP && m.token >= generation && desk.steady - m.reportedAt < leaseMs && hearing.ask(m)
 
-    /** The cloud will take the machine: what can save its progress does so now. */
+    /**
+     * The cloud will take the machine: what can save its progress does so now, and what will certainly not be over by then begins
+     * elsewhere at once, since it would be lost here and known to be lost only when the lease has lapsed.
+     */
     private fun windDown(m: Machine) {
-        for (a in m.attempts) if (a.job.spec.checkpointS > 0 && a.phase == Attempt.Phase.RUNNING) a.stopping = true
+        val leftS = (m.noticeAt - desk.steady) / 1000.0
+        for (a in m.attempts) {
+            if (!a.onMachine || a.stopping) continue
+            val saves = a.job.spec.checkpointS > 0 && a.phase == Attempt.Phase.RUNNING
+            if (saves || !a.inherited && a.leastLeftS(desk.steady) > leftS) a.stopping = true
+        }
     }
 
     /** Machines that take new tasks: up, heard from at our token, neither draining nor about to be taken. */
@@ -151,9 +159,12 @@
     fun lapse() {
         val t = desk.steady
         for (m in byName.values) {
-            if (m.state == Machine.State.LOST || m.state == Machine.State.DELETING) continue
-            if (m.state == Machine.State.BOOTING && m.attempts.isEmpty()) continue
+            if (m.state != Machine.State.UP && m.attempts.isEmpty()) continue
             if (t < m.answeredAt + leaseMs + leaseMs / 500 + LAPSE_MARGIN_MS) continue
+            if (m.state == Machine.State.LOST || m.state == Machine.State.DELETING) {
+                onGone(m) // asked to be deleted with tasks on it, and whether it is gone is not known yet
+                continue
+            }
             desk.info("the lease of ${m.name} has lapsed")
             m.state = Machine.State.LOST
             m.lostAt = t
@@ -257,9 +268,9 @@
     /** Deletes what failed, never came up, was lost or idles; true if a request was sent. */
     private fun returnMachines(unplaced: List<Placement.Unplaced>): Boolean {
         val t = desk.steady
-        val out = ArrayList<Machine>()
+        val out = silent(t)
         for (m in byName.values) {
-            if (m.state == Machine.State.DELETING) continue
+            if (m.state == Machine.State.DELETING || m in out) continue
             if (m.attempts.isNotEmpty() || m.state != Machine.State.UP) m.idleSince = Machine.NEVER
             else if (m.idleSince == Machine.NEVER) m.idleSince = t
             if (m.failedJobs.size >= SICK_JOBS && !m.draining) {
@@ -276,6 +287,28 @@
         return true
     }
 
+    /**
+     * Machines that the cloud has taken, or that say nothing and do not answer: a deletion that the cloud confirms proves what
+     * was on them gone, long before their leases lapse. Where much of a zone is silent it is the network or ourselves, and
+     * everything there may be well; those are left to their leases.
+     */
+    private fun silent(t: Long): ArrayList<Machine> {
+        val out = ArrayList<Machine>()
+        val up = HashMap<Int, Int>()
+        val overdue = HashMap<Int, Int>()
+        val silent = ArrayList<Machine>()
+        for (m in byName.values) {
+            if (m.state != Machine.State.UP) continue
+            up.merge(m.zone, 1, Int::plus)
+            if (hearing.overdue(m)) overdue.merge(m.zone, 1, Int::plus)
+            if (m.noticeAt != Machine.NEVER && t > m.noticeAt + TAKEN_MS) out.add(m)
+            else if (m.busy && hearing.silent(m)) silent.add(m)
+        }
+        if (t - takenOverAt < leaseMs) return out
+        silent.filterTo(out) { (overdue[it.zone] ?: 0) * SILENT_OF < up.getValue(it.zone) }
+        return out
+    }
+
     private var waitedAt = Machine.NEVER
     private var retiredAt = Machine.NEVER
 
@@ -534,6 +567,12 @@
         const val LOST_MS = 45_000L
         const val BOOT_SLACK_MS = 10_000L
         const val SICK_JOBS = 2
+
+        /** This long after the announced moment a machine is taken for taken. */
+        const val TAKEN_MS = 1000L
+
+        /** Silence of less than one in this many of a zone's machines is their own. */
+        const val SILENT_OF = 3
         const val CALM_MS = 3000L
         const val RETIRE_EVERY_MS = 1500L
         const val RETIRED_OF = 15
--- a/src/main/kotlin/org/chalkhollow/core/Hearing.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Hearing.kt
@@ -8,9 +8,13 @@
  * when proofs fail to come for several reports, then asked directly, and given no more work when that brings no proof either.
  * Only placement and the return of machines rest on this, no proof about attempts does.
  */
-class Hearing(private val desk: Desk, reportS: Double) {
+class Hearing(private val desk: Desk, reportS: Double, leaseS: Double) {
     private val doubtMs = maxOf(UNANSWERED_GAP_MS, (reportS * 3000).toLong())
 
+    /** A report is overdue after this long; no news from then on means more than that the next one is a little late. */
+    private val overdueMs = (reportS * 1250).toLong() + 500
+    private val silentMs = maxOf((leaseS * 500).toLong(), overdueMs + DIRECT_MS + 500)
+
     /** A report that is newer than all before it has come in from [m]. */
     fun reported(m: Machine, freshSession: Boolean, tellsToken: Boolean, atToken: Boolean) {
         val t = desk.steady
@@ -39,16 +43,27 @@
     /** Whether [m] is to be asked directly now. */
     fun ask(m: Machine): Boolean {
         val t = desk.steady
-        if (t - m.provedAt < doubtMs || t - m.askedAt < ASK_MS || m.directBusy) return false
+        if (!(m.busy && overdue(m)) && t - m.provedAt < doubtMs || t - m.askedAt < ASK_MS || m.directBusy) return false
         m.askedAt = t
         return true
     }
 
+    /** Whether a report should have come from [m] by now. */
+    fun overdue(m: Machine): Boolean = m.reportedAt != Machine.NEVER && desk.steady - m.reportedAt > overdueMs
+
+    /** Whether [m] has said nothing for long, not even when it was asked. */
+    fun silent(m: Machine): Boolean {
+        val t = desk.steady
+        return m.reportedAt != Machine.NEVER && t - maxOf(m.reportedAt, m.provedAt) > silentMs &&
+            m.askedAt > maxOf(m.reportedAt, m.provedAt) && t - m.askedAt > DIRECT_MS
+    }
+
     private companion object {
         /** A worker that gets no answer waits 4 s for it and reports again after another one, a little less by our clock. */
         const val UNANSWERED_GAP_MS = 4500L
 
-        /** As long as a direct command may take, and a little. */
+        /** How long a direct command waits for its answer, and how often one is sent to ask. */
+        const val DIRECT_MS = 3000L
         const val ASK_MS = 4000L
     }
 }
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -49,6 +49,10 @@
     /** Completed attempts whose completion is not durable yet. */
     val unrecorded = ArrayList<Attempt>()
 
+    /** How many of its tasks this leader saw run from begin to end, and for how long in all. */
+    var runs = 0
+    var ranS = 0.0
+
     /** The end of the time that its owner gave it, by the time of day. */
     val dueWall: Long = spec.dueS?.let { acceptedWall + (it * 1000).toLong() } ?: Long.MAX_VALUE
 
@@ -116,7 +120,17 @@
     /** The machine held the image when the attempt was placed. */
     var cached = false
 
+    /** How many more seconds it takes at the least, as far as its job's other tasks or its owner's estimate tell. */
+    fun leastLeftS(t: Long): Double {
+        val ran = if (phase == Phase.RUNNING) (t - since) / 1000.0 else 0.0
+        return (if (job.runs > 0) job.ranS / job.runs else job.spec.expectedS) * LEAST_OF_EXPECTED - ran
+    }
+
     val onMachine: Boolean get() = phase == Phase.FETCHING || phase == Phase.RUNNING || phase == Phase.SAVING
+
+    private companion object {
+        const val LEAST_OF_EXPECTED = 0.8
+    }
 }
 
 /** A durable note that the attempts listed under [key] may have been started. */
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -160,8 +160,12 @@
 
     private fun exited(a: Attempt, cause: ExitCause) {
         release(a)
-        a.phase = Attempt.Phase.EXITED
         val job = a.job
+        if (cause == ExitCause.DONE && a.phase == Attempt.Phase.RUNNING && !a.inherited) {
+            job.runs++
+            job.ranS += (desk.steady - a.since) / 1000.0
+        }
+        a.phase = Attempt.Phase.EXITED
         if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN && job.spec.shape != Shape.SERVICE) {
             a.machine.failedJobs.clear()
             if (!job.done.get(a.index)) {
