Preemption stops only what makes room where it runs

CPUs to be freed were counted over all machines, so tasks were stopped where the room they left was too small for what they were stopped for, were placed there again, and stopped again. Now each machine is looked at by itself.

--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -294,17 +294,50 @@
     private fun preemptFor(u: Unplaced, candidates: List<Machine>, urgent: Boolean, owed: Boolean) {
         val job = u.job
         val places = candidates.filter { !fetches(job, it) && allowed(job, it) && it.spot <= job.spec.spotAllowed }
-        var need = u.count * job.each.cpus - places.sumOf { m -> m.attempts.sumOf { if (it.stopping && it.onMachine) it.job.each.cpus else 0.0 } }
-        val victims = places.flatMap { it.attempts }.filter { mayStop(it, job, urgent, owed) }
-            .sortedWith(compareBy({ if (it.job.spec.checkpointS > 0) 0 else 1 }, { -it.placedAt }, { it.machine.id }, { it.index }))
+        var need = u.count - places.sumOf { job.each.countIn(roomAfterStops(it)) }
+        if (need <= 0) return
+        val victims = places.associateWith { m -> m.attempts.filter { mayStop(it, job, urgent, owed) }.sortedWith(cheapestFirst) }
+        for ((m, some) in victims.entries.filter { it.value.isNotEmpty() }.sortedWith(compareBy(cheapestFirst) { it.value.first() })) {
+            if (need <= 0) return
+            need -= stopOn(m, some, job, need)
+        }
+    }
+
+    private val cheapestFirst = compareBy<Attempt>({ if (it.job.spec.checkpointS > 0) 0 else 1 }, { -it.placedAt }, { it.machine.id }, { it.index })
+
+    /**
+     * Stops as many of [victims] on [m] as make room there for tasks of [job], and none that do not: an earlier version counted
+     * CPUs over all machines, so what was stopped went back to where it had been, since the room was too small for the other.
+     */
+    private fun stopOn(m: Machine, victims: List<Attempt>, job: OpenJob, most: Int): Int {
+        var room = roomAfterStops(m)
+        var fitting = job.each.countIn(room)
+        var made = 0
+        val pending = ArrayList<Attempt>()
         for (v in victims) {
-            if (need <= 0) break
-            v.stopping = true
-            need -= v.job.each.cpus
-            preempted.add(v.machine)
+            if (made >= most) break
+            pending.add(v)
+            room = plus(room, v.job.each)
+            val now = job.each.countIn(room)
+            if (now == fitting) continue
+            made += now - fitting
+            fitting = now
+            for (p in pending) p.stopping = true
+            pending.clear()
+            preempted.add(m)
         }
+        return made
+    }
+
+    /** The room that this round leaves on [m], and what its tasks that are being stopped will leave. */
+    private fun roomAfterStops(m: Machine): Resources {
+        var room = m.left
+        for (a in m.attempts) if (a.stopping && a.onMachine) room = plus(room, a.job.each)
+        return room
     }
 
+    private fun plus(a: Resources, b: Resources) = Resources(a.cpus + b.cpus, a.cards + b.cards, a.memoryGb + b.memoryGb)
+
     /** Whether little is lost by stopping [a], whatever for. */
     private fun stoppable(a: Attempt): Boolean = a.onMachine && !a.stopping && !a.owed && a.job.spec.shape == Shape.ARRAY &&
         (a.job.spec.checkpointS > 0 || desk.steady - a.placedAt < YOUNG_MS) && !withinGuarantee(a.job)
--- a/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/RandomRunsTest.kt
@@ -6,6 +6,7 @@
 import org.chalkhollow.rehearsal.Rehearsal
 import org.chalkhollow.rehearsal.Troubles
 import org.chalkhollow.rehearsal.WorkerStand
+import org.chalkhollow.settings.Objective
 import org.chalkhollow.settings.OperatorSettings
 import org.chalkhollow.settings.StateLimits
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -252,6 +253,26 @@
         assertTrue(r.nodes.filter { !it.leads }.all { it.status()?.leader == leader.label })
     }
 
+    // CPUs were once counted over all machines: what was stopped left too little room for the other, went back to where it had
+    // been, and was stopped again, five times a second.
+    @Test
+    fun `nothing is stopped where that makes no room for what it is stopped for`() {
+        val r = Rehearsal(21, capacity = 4, objectives = listOf(Objective("guarantee", null, 60.0, 0.9)))
+        r.network.loss = 0.0
+        r.network.late = 0.0
+        r.begin(0, 1, machines = 0)
+        repeat(4) { r.cloud.add(r.types[0], "east", true, 0) }
+        fun job(team: String, count: Int, cpus: Double, memoryGb: Double): (JobSpec) -> JobSpec = {
+            it.copy(team = team, priority = Priority.STANDARD, tasks = count, each = Resources(cpus, 0.0, memoryGb), image = "i", types = null, zone = null, together = false, spread = false, spotAllowed = true, expectedS = 300.0, checkpointS = 0.0)
+        }
+        r.world.after(8000) { r.users.submit(job("blue", 4, 4.0, 40.0)) } // one on each machine
+        r.world.after(25_000) { r.users.submit(job("blue", 4, 4.0, 1.0)) }
+        r.world.after(27_000) { r.users.submit(job("red", 2, 6.0, 1.0)) }
+        r.world.runUntil(60_000)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertEquals(8, r.rules.starts)
+    }
+
     /** Urgent work takes every machine for as long as it comes, while a few wide jobs of no urgency wait. */
     private fun overload(patienceS: Double): Rehearsal {
         val r = Rehearsal(6, OperatorSettings(patienceS = patienceS, idleReturnS = 900.0))
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
@@ -6,6 +6,7 @@
 import org.chalkhollow.model.Resources
 import org.chalkhollow.model.Team
 import org.chalkhollow.settings.Address
+import org.chalkhollow.settings.Objective
 import org.chalkhollow.settings.OperatorSettings
 import org.chalkhollow.settings.Peer
 import org.chalkhollow.settings.PlatformSettings
@@ -28,6 +29,7 @@
     /** How often workers report. */
     val reportMs: Long = 2000,
     private val stateLimits: StateLimits = StateLimits(80.0, 20.0, 8192, 12),
+    private val objectives: List<Objective> = emptyList(),
     /** Sabotage for tests of the checks: late copies of reports pass for new ones. */
     val copiesLookNew: Boolean = false,
     /** Options of one controller that differ from the others'; only in tests of the checks. */
@@ -54,7 +56,7 @@
         label = label, location = "east", clientListen = Address("127.0.0.1", 1), meshAddress = Address("127.0.0.1", 2),
         peers = labels.filter { it != label }.map { Peer(it, Address("127.0.0.1", 3)) },
         state = Address("127.0.0.1", 4), cloud = Address("127.0.0.1", 5),
-        teams = limits.map { it.copy(cpusMax = it.cpusMax * factor) }, objectives = emptyList(), reportS = reportMs / 1000.0, leaseS = leaseS, cancelS = 25.0,
+        teams = limits.map { it.copy(cpusMax = it.cpusMax * factor) }, objectives = objectives, reportS = reportMs / 1000.0, leaseS = leaseS, cancelS = 25.0,
         stateLimits = stateLimits, cloudRps = 3.0, listLagS = 3.0, maxConnections = 100, skewMs = 25.0,
     )
 
