A leader that gives up is followed at once; a write without an answer counts from when it was sent

Peers take its word now, after reading the record again. Users are sent elsewhere after 3.5 s without a leader's word instead of 6 s.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -366,7 +366,7 @@
         const val FLEET_MS = 500L
         const val ROUND_MS = 100L
         const val IDLE_ROUND_MS = 900L
-        const val UP_MS = 6000L
+        const val UP_MS = 3500L
         const val LOAD_RETRY_MS = 250L
         const val RAISE_MS = 20_000L
         const val STUCK_MS = 6000L
--- a/src/main/kotlin/org/chalkhollow/core/Leadership.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Leadership.kt
@@ -67,6 +67,10 @@
     private var readDueAt = startedAt
     private var servedAt = NEVER
 
+    /** The last generation whose leader has told us that it gave up: its lease binds nobody, however lately it wrote. */
+    private var releasedGeneration = 0L
+    private var releasedAt = NEVER
+
     // Promises and votes given.
     private var promisedUntil = NEVER
     private var votedGeneration = 0L
@@ -152,7 +156,7 @@
         if (!reading && t >= readDueAt) read()
         val record = seen ?: return
         val stale = t - seenSince
-        if (stale < stretched(options.leaderLeaseMs) + standOffset() || t < promisedUntil) return
+        if (!released(record, standOffset()) && stale < stretched(options.leaderLeaseMs) + standOffset() || t < promisedUntil) return
         if (t - servedAt > options.leaderRenewMs * 2 + 700) return // nothing can be written now
         if (stale > stretched(options.outageLimitMs) || majority == 1) {
             votesUsedAt = NEVER
@@ -163,6 +167,10 @@
         if (t - voteAskedAt >= VOTE_RETRY_MS) askVotes(t, record)
     }
 
+    /** Whether the leader of [record] has said that it gave up, [sinceMs] ago, and the record was read since. */
+    private fun released(record: LeadRecord, sinceMs: Long): Boolean =
+        record.generation == releasedGeneration && desk.steady - releasedAt >= sinceMs && servedAt > releasedAt
+
     private fun askVotes(t: Long, record: LeadRecord) {
         voteAskedAt = t
         voteSeq++
@@ -292,8 +300,9 @@
         servedAt = desk.steady
     }
 
-    fun writeFailed() {
-        if (failingSince == NEVER) failingSince = desk.steady
+    /** A write was refused, or is without an answer although it was sent at [sentAt]. */
+    fun writeFailed(sentAt: Long = desk.steady) {
+        if (failingSince == NEVER) failingSince = sentAt
     }
 
     /** Someone else's record stands where ours should: stop at once. */
@@ -331,6 +340,9 @@
             is PeerMessage.Release -> if (from == leaderPeer && message.generation == generation) {
                 promisedUntil = NEVER
                 leaderHeardAt = NEVER
+                releasedGeneration = message.generation
+                releasedAt = t
+                readDueAt = t
             }
             is PeerMessage.VoteAsk -> onVoteAsk(from, message, t)
             is PeerMessage.Vote -> onVote(from, message)
@@ -374,9 +386,10 @@
 
     private fun onVote(from: Int, vote: PeerMessage.Vote) {
         if (role != Role.FOLLOWER || vote.seq != voteSeq || !vote.granted || desk.steady < promisedUntil) return
-        if (vote.generation != (seen?.generation ?: return) + 1) return
+        val record = seen ?: return
+        if (vote.generation != record.generation + 1) return
         votes[from] = true
-        if (votes.count { it } + 1 >= majority && desk.steady - seenSince >= stretched(options.leaderLeaseMs)) {
+        if (votes.count { it } + 1 >= majority && (released(record, 0) || desk.steady - seenSince >= stretched(options.leaderLeaseMs))) {
             votesUsedAt = voteAskedAt
             stand("elected by peers")
         }
@@ -397,7 +410,7 @@
         const val RETRY_MS = 250L
         const val STAND_STEP_MS = 80L
         const val HEARD_MS = 1600L
-        const val SERVED_MARGIN_MS = 200L
+        const val SERVED_MARGIN_MS = 450L
         const val YIELD_MS = 8000L
     }
 }
--- a/src/main/kotlin/org/chalkhollow/core/StateLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/StateLog.kt
@@ -140,7 +140,7 @@
             is StateReply.Conflict -> lookAtRecord(b)
             StateReply.NoResponse -> {
                 b.uncertain = true
-                failed()
+                failed(sentAt)
                 again(b, 0)
             }
             is StateReply.Rejected -> {
@@ -161,9 +161,9 @@
         if (afterMs == 0L) pump()
     }
 
-    private fun failed() {
-        if (failingSince < 0) failingSince = desk.steady
-        leadership.writeFailed()
+    private fun failed(since: Long = desk.steady) {
+        if (failingSince < 0) failingSince = since
+        leadership.writeFailed(since)
     }
 
     /** The conditions did not hold: either an earlier sending of the same transaction was applied, or someone else leads. */
--- a/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
@@ -4,7 +4,10 @@
 import org.chalkhollow.model.Resources
 import org.chalkhollow.model.Team
 import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.settings.PlatformSettings
 import org.chalkhollow.wire.Row
+import org.chalkhollow.wire.Rows
+import org.chalkhollow.wire.WorkerReport
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -198,6 +201,57 @@
         assertTrue(alone.deposed, "holds on although its peers are served")
     }
 
+    @Test
+    fun `a leader that gave up is followed at once, its lease notwithstanding`() {
+        fun asksForVotes(released: Boolean): Boolean {
+            val b = Bench(2)
+            val late = ArrayList<Effect>()
+            for (t in 0L..5_000L step 100) {
+                if (t == 4_000L) b.at(t) { onPeer(0, PeerMessage.PromiseAsk(5, 1, true)) }
+                if (t == 4_100L && released) b.at(t) { onPeer(0, PeerMessage.Release(5)) }
+                val out = b.at(t)
+                for (e in out) if (e is Effect.State && e.op is StateOp.Read) b.answer(e, b.record("p0", 1, minOf(t, 4_000L) + 1))
+                if (t > 4_100L) late.addAll(out + b.desk.drain())
+            }
+            return late.any { it is Effect.Send && it.message is PeerMessage.VoteAsk }
+        }
+        assertTrue(asksForVotes(released = true))
+        assertFalse(asksForVotes(released = false))
+    }
+
+    /** A late answer must not be a leader's when this is none any more. */
+    @Test
+    fun `what a leader decided before it stood still is not said afterwards`() {
+        val settings = PlatformSettings.parse(
+            """{"label":"a","location":"z","client_listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+              "seeds":[{"label":"b","location":"z","endpoint":"127.0.0.1:3"},{"label":"c","location":"z","endpoint":"127.0.0.1:4"}],
+              "external":{"cloud":"127.0.0.1:5","state":"127.0.0.1:6"},
+              "facts":{"teams":[{"name":"t","cpus":8,"cpus_max":16}],"workers":{"report_s":4,"lease_s":22,"cancel_s":40},
+              "state":{"rps":80,"write_rps":20,"value_kb":8,"txn_ops":12},"cloud":{"rps":3,"list_lag_s":5}}}""",
+            "test",
+        )
+        val c = Controller(settings, OperatorSettings(), 1, Now(0, 0))
+        val pending = ArrayDeque(c.step(Now(0, 0), Input.Tick))
+        var revision = 1L
+        while (!c.takesRequests(Now(0, 0)) || pending.isNotEmpty()) {
+            val e = pending.removeFirstOrNull() ?: break
+            if (e !is Effect.State) continue
+            val reply = when (e.op) {
+                is StateOp.Read -> StateReply.Missing
+                is StateOp.List -> StateReply.Page(Rows(emptyList(), false))
+                is StateOp.Commit -> StateReply.Committed(++revision)
+            }
+            pending.addAll(c.step(Now(10, 10), Input.State(e.ticket, reply)))
+        }
+        assertTrue(c.leads(Now(20, 20)))
+        val report = WorkerReport("n-1", "127.0.0.1:9", "x", "z", false, 1, 1, 1, null, emptyList())
+        val answer = c.step(Now(20, 20), Input.Report(7, report)).filterIsInstance<Effect.Answer>().single()
+        assertEquals(200, answer.status)
+        assertEquals(200, (c.whenLate(Now(300, 300), answer) as Effect.Answer).status)
+        assertEquals(503, (c.whenLate(Now(30_000, 30_000), answer) as Effect.Answer).status)
+        assertEquals(null, c.whenLate(Now(30_000, 30_000), Effect.Direct(1, "127.0.0.1:9", 1, 1, emptyList())))
+    }
+
     @Test
     fun `a controller that led before its restart takes over at once with a new generation`() {
         val b = Bench(2)
