--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -263,13 +263,9 @@
         return due != Long.MAX_VALUE && desk.now.wall + job.spec.expectedS * SURE_FACTOR * 1000 > due
     }
 
-    /**
-     * Whether a job that waits for [waitS] more seconds would start or end too late. A dear machine takes far longer to come up
-     * than users wait for starts, so for those alone it is worth its price only when the wait will be long anyway, or when
-     * nothing but its type will do.
-     */
+    /** Whether a job that waits for [waitS] more seconds would start or end too late. */
     private fun pressing(job: OpenJob, waitS: Double): Boolean {
-        if ((aims.startsCount(job) || withinGuarantee(job)) && (waitS > LONG_WAIT_S || job.onlyType >= 0)) return true
+        if (aims.startsCount(job) || withinGuarantee(job)) return true
         val due = aims.dueWall(job)
         if (due == Long.MAX_VALUE) return false
         return desk.now.wall + (waitS + job.spec.expectedS * LATE_FACTOR) * 1000 > due
@@ -493,7 +489,6 @@
         private const val YOUNG_MS = 12_000L
         private const val LATE = 3 // the standing of what cannot be in time any more
         private const val SLACK_MS = 20_000L
-        private const val LONG_WAIT_S = 3.0
         private const val KINDS_KEPT = 10_000
         private const val SIZES_KEPT = 50
         private const val SCARCE_MS = 300_000L
