Several aims for one class; nothing rented in zones out of reach

Cause: of the aims on one class only the last was kept. Now the first aim that can still be met counts.

--- a/src/main/kotlin/org/chalkhollow/core/Aims.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Aims.kt
@@ -2,35 +2,68 @@
 
 import org.chalkhollow.settings.Objective
 
-/** What the settings say of how soon classes of jobs should start and finish. */
-class Aims(objectives: List<Objective>) {
-    private val startWithin = HashMap<String, Long>()
-    private val finishWithin = HashMap<String, Long>()
-
+/**
+ * What the settings say of how soon classes of jobs should start and finish. A class may have several aims of a kind, such as
+ * most starts within seconds and nearly all within a minute or two: when the first is missed the next still counts. An earlier
+ * version kept one of each kind, and took a class that may wait for minutes for one whose users wait for starts.
+ */
+class Aims(objectives: List<Objective>, private val leastBootMs: () -> Long) {
+    private val starts = HashMap<String, LongArray>()
+    private val finishes = HashMap<String, LongArray>()
+    private val deadlines = HashMap<String, DoubleArray>()
     private var guaranteeWithin = 0L
 
     init {
-        for (o in objectives) {
-            if (o.kind == "guarantee") guaranteeWithin = ((o.withinS ?: 0.0) * 1000).toLong()
-            val workload = o.workload ?: continue
-            val ms = ((o.withinS ?: continue) * 1000).toLong()
-            if (o.kind == "wait") startWithin[workload] = ms
-            if (o.kind == "finished") finishWithin[workload] = ms
+        for (o in objectives) if (o.kind == "guarantee") guaranteeWithin = ((o.withinS ?: 0.0) * 1000).toLong()
+        for ((workload, some) in objectives.filter { it.workload != null }.groupBy { it.workload.orEmpty() }) {
+            fun within(kind: String) = some.filter { it.kind == kind }.mapNotNull { it.withinS }.map { (it * 1000).toLong() }.sorted().toLongArray()
+            starts[workload] = within("wait")
+            finishes[workload] = within("finished")
+            deadlines[workload] = some.filter { it.kind == "deadline" }.map { it.times }.sorted().toDoubleArray()
         }
     }
 
-    /** Whether users of this class wait for its tasks to start. */
-    fun startsCount(job: OpenJob): Boolean = job.spec.workload in startWithin
+    /**
+     * Whether users of this class wait for its tasks to start: sooner than a machine can be had for them, so that room has to
+     * be there already.
+     */
+    fun startsCount(job: OpenJob): Boolean = (starts[job.spec.workload]?.firstOrNull() ?: return false) < leastBootMs()
+
+    /** Whether tasks that start now are still in time for the class's first aim on starting. */
+    fun startable(job: OpenJob, wall: Long): Boolean =
+        startsCount(job) && wall < job.acceptedWall + (starts[job.spec.workload]?.first() ?: return false)
 
-    /** Whether tasks that start now are still in time for the class's aim on starting. */
-    fun startable(job: OpenJob, wall: Long): Boolean = wall < job.acceptedWall + (startWithin[job.spec.workload] ?: return false)
+    /** Whether most of the time that the class's tasks may wait for their start is over, and not all of it. */
+    fun mustStart(job: OpenJob, wall: Long): Boolean {
+        val waited = wall - job.acceptedWall
+        return starts[job.spec.workload]?.any { it >= leastBootMs() && waited < it && waited * WAITED_OF >= it * WAITED } ?: false
+    }
 
     /** Whether tasks within a guarantee that start now are still in time. */
     fun freshGuarantee(job: OpenJob, wall: Long): Boolean = wall < job.acceptedWall + guaranteeWithin
 
-    /** When the job should be over, by its owner's deadline or its class's aim; [Long.MAX_VALUE] if nobody says. */
-    fun dueWall(job: OpenJob): Long {
-        val within = finishWithin[job.spec.workload] ?: return job.dueWall
-        return minOf(job.dueWall, job.acceptedWall + within)
+    /**
+     * When the job should be over, by its owner's deadline and its class's aims: the first moment that can still be kept when
+     * it needs [leastMs] from [wall] on, the last one when none can; [Long.MAX_VALUE] if nobody says.
+     */
+    fun dueWall(job: OpenJob, wall: Long, leastMs: Long): Long {
+        var due = Long.MAX_VALUE
+        var last = Long.MIN_VALUE
+        fun consider(at: Long) {
+            last = maxOf(last, at)
+            if (wall + leastMs <= at) due = minOf(due, at)
+        }
+        job.spec.dueS?.let { s ->
+            val times = deadlines[job.spec.workload] ?: ONCE
+            for (t in if (times.isEmpty()) ONCE else times) consider(job.acceptedWall + (s * t * 1000).toLong())
+        }
+        finishes[job.spec.workload]?.let { for (within in it) consider(job.acceptedWall + within) }
+        return if (due != Long.MAX_VALUE || last == Long.MIN_VALUE) due else last
+    }
+
+    private companion object {
+        const val WAITED = 1
+        const val WAITED_OF = 2
+        val ONCE = doubleArrayOf(1.0)
     }
 }
--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -31,7 +31,7 @@
     private val fleet = Fleet(desk, names, settings, options, settings.label, base)
     private val images = ImageMemory(desk, names, settings.stateLimits, fleet)
     private val dispatch = DispatchLog(desk, settings.stateLimits, settlement, fleet)
-    private val placement = Placement(desk, jobs, quotas, settlement, fleet, options, Aims(settings.objectives))
+    private val placement = Placement(desk, jobs, quotas, settlement, fleet, options, Aims(settings.objectives, fleet::leastBootMs))
     private val door = Door(desk, leadership, log, jobs, quotas, fleet, names)
     private val incarnationId = incarnation
     private var loaded = false
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -90,6 +90,10 @@
     fun cpus(type: Int): Double = if (type < 0) cpus() else
         byName.values.sumOf { if (it.type == type && (it.state == Machine.State.UP || it.state == Machine.State.BOOTING)) size(it) else 0.0 }
 
+    /** How soon a machine can be there at the best; half a minute while the catalog is not known. */
+    fun leastBootMs(): Long = leastBootMs
+    private var leastBootMs = 30_000L
+
     fun size(m: Machine): Double = types.getOrNull(m.type)?.room?.cpus ?: 0.0
 
     /**
@@ -203,6 +207,7 @@
                     while (types.size <= index) types.add(null)
                     types[index] = type
                 }
+                reply.types.minOfOrNull { it.bootS }?.let { leastBootMs = (it * 1000).toLong() }
             }
         }
     }
@@ -419,6 +424,7 @@
         val wanted = LinkedHashMap<Offer, Int>()
         val inZone = HashMap<Int, Int>()
         for (m in byName.values) inZone.merge(m.zone, 1, Int::plus)
+        findUnreached()
         var cpus = cpus()
         var total = byName.size
         for (u in unplaced) {
@@ -464,6 +470,22 @@
 
     private fun overdue(m: Machine, t: Long): Boolean = t - m.bornAt > (types.getOrNull(m.type)?.bootS ?: 60.0) * 2000
 
+    /** Zones most of whose machines say nothing: what is rented there could not report either. */
+    private val unreached = HashSet<Int>()
+
+    private fun findUnreached() {
+        unreached.clear()
+        val all = HashMap<Int, Int>()
+        val quiet = HashMap<Int, Int>()
+        for (m in byName.values) {
+            if (m.state != Machine.State.UP && m.state != Machine.State.LOST) continue
+            all.merge(m.zone, 1, Int::plus)
+            if (m.state == Machine.State.LOST || hearing.overdue(m)) quiet.merge(m.zone, 1, Int::plus)
+        }
+        if (desk.steady - takenOverAt < leaseMs) return // not heard from yet is not silent
+        for ((zone, n) in quiet) if (n >= UNREACHED_LEAST && n * 3 > all.getValue(zone) * 2) unreached.add(zone)
+    }
+
     /** The offer with the lowest price for one task of [job], among those not refused lately. */
     private fun cheapest(u: Placement.Unplaced, t: Long, inZone: Map<Int, Int>): Offer? {
         val job = u.job
@@ -475,6 +497,7 @@
             if (each <= 0) continue
             for (zoneName in type.zones) {
                 val zone = names.zones.intern(zoneName)
+                if (zone in unreached) continue
                 for (spot in SPOT_FIRST) {
                     val offer = Offer(index, zone, spot)
                     if (!allows(job, index, zone, spot) || t < (refusedUntil[offer] ?: 0)) continue
@@ -573,6 +596,7 @@
 
         /** Silence of less than one in this many of a zone's machines is their own. */
         const val SILENT_OF = 3
+        const val UNREACHED_LEAST = 4
         const val CALM_MS = 3000L
         const val RETIRE_EVERY_MS = 1500L
         const val RETIRED_OF = 15
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -53,9 +53,6 @@
     var runs = 0
     var ranS = 0.0
 
-    /** The end of the time that its owner gave it, by the time of day. */
-    val dueWall: Long = spec.dueS?.let { acceptedWall + (it * 1000).toLong() } ?: Long.MAX_VALUE
-
     val gang: Boolean get() = spec.shape == Shape.GANG
     val complete: Boolean get() = doneCount == spec.tasks
     val cancelled: Boolean get() = entry.state == JobState.CANCELLED
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -34,7 +34,7 @@
             compareBy(
                 { if (goesFirst(it)) -1 else it.spec.priority.ordinal },
                 { if (goesFirst(it)) 0 else standing(it) },
-                { if (goesFirst(it)) kindPlacedWall[Kind(it)] ?: 0L else aims.dueWall(it) },
+                { if (goesFirst(it)) kindPlacedWall[Kind(it)] ?: 0L else due(it) },
                 { if (goesFirst(it)) it.owedSinceWall else it.acceptedWall },
                 { it.entry.id },
             ),
@@ -60,6 +60,8 @@
     /** When one was last placed in the common order, without being owed it. */
     private val kindServedWall = HashMap<Kind, Long>()
 
+    private fun due(job: OpenJob): Long = aims.dueWall(job, desk.now.wall, (job.spec.expectedS * SURE_FACTOR * 1000).toLong())
+
     private fun goesFirst(job: OpenJob): Boolean = job.owedCpus > 0 && owedLeft > 0
 
     /**
@@ -150,7 +152,7 @@
 
     /** Whether others may go before the job for a while without making it late. */
     private fun canWait(job: OpenJob): Boolean {
-        val due = aims.dueWall(job)
+        val due = due(job)
         return due == Long.MAX_VALUE || due - desk.now.wall > job.spec.expectedS * LATE_FACTOR * 1000 + SLACK_MS
     }
 
@@ -220,6 +222,7 @@
      */
     private fun standing(job: OpenJob): Int = when {
         aims.startable(job, desk.now.wall) || withinGuarantee(job) && aims.freshGuarantee(job, desk.now.wall) -> 0
+        aims.mustStart(job, desk.now.wall) -> 0
         hopeless(job) || job in givenUp -> LATE
         withinGuarantee(job) -> 1
         else -> 2
@@ -241,11 +244,11 @@
             if (cpus <= 0) continue
             val chosen = PriorityQueue<Pair<OpenJob, Double>>(compareBy { -it.second })
             var sum = 0.0
-            for (job in jobs.filter { aims.dueWall(it) != Long.MAX_VALUE && !hopeless(it) }.sortedBy { aims.dueWall(it) }) {
+            for (job in jobs.filter { due(it) != Long.MAX_VALUE && !hopeless(it) }.sortedBy { due(it) }) {
                 val work = (job.spec.tasks - job.doneCount) * job.each.cpus * job.spec.expectedS / cpus
                 chosen.add(job to work)
                 sum += work
-                if (now + maxOf(sum, job.spec.expectedS) * SURE_FACTOR * 1000 <= aims.dueWall(job)) continue
+                if (now + maxOf(sum, job.spec.expectedS) * SURE_FACTOR * 1000 <= due(job)) continue
                 val (largest, saved) = chosen.poll()
                 sum -= saved
                 if (largest.live.isEmpty()) givenUp.add(largest)
@@ -259,14 +262,14 @@
      */
     private fun hopeless(job: OpenJob): Boolean {
         if (aims.startable(job, desk.now.wall)) return false
-        val due = aims.dueWall(job)
+        val due = due(job)
         return due != Long.MAX_VALUE && desk.now.wall + job.spec.expectedS * SURE_FACTOR * 1000 > due
     }
 
     /** Whether a job that waits for [waitS] more seconds would start or end too late. */
     private fun pressing(job: OpenJob, waitS: Double): Boolean {
         if (aims.startsCount(job) || withinGuarantee(job)) return true
-        val due = aims.dueWall(job)
+        val due = due(job)
         if (due == Long.MAX_VALUE) return false
         return desk.now.wall + (waitS + job.spec.expectedS * LATE_FACTOR) * 1000 > due
     }
--- a/src/main/kotlin/org/chalkhollow/settings/PlatformSettings.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/PlatformSettings.kt
@@ -27,7 +27,7 @@
 data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
 
 /** An aim on how soon a class of jobs should start or finish. */
-data class Objective(val kind: String, val workload: String?, val withinS: Double?, val share: Double)
+data class Objective(val kind: String, val workload: String?, val withinS: Double?, val share: Double, val times: Double = 1.0)
 
 /** What the platform hands to every controller. */
 data class PlatformSettings(
@@ -122,6 +122,7 @@
             workload = n.optional("class")?.text(),
             withinS = n.optional("within_s")?.number(0.0, 1e9),
             share = n.optional("share")?.number(0.0, 1.0) ?: 1.0,
+            times = n.optional("times")?.number(0.0, 1e6) ?: 1.0,
         )
     }
 }
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/core/AimsTest.kt
@@ -0,0 +1,47 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.Priority
+import org.chalkhollow.model.Resources
+import org.chalkhollow.model.Shape
+import org.chalkhollow.settings.Objective
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class AimsTest {
+    private val aims = Aims(
+        listOf(
+            Objective("wait", "urgent", 70.0, 0.99), Objective("wait", "urgent", 4.0, 0.8), Objective("wait", "batch", 150.0, 0.98),
+            Objective("finished", "batch", 300.0, 0.95), Objective("finished", "batch", 200.0, 0.9),
+            Objective("deadline", "urgent", null, 0.9, 1.0), Objective("deadline", "urgent", null, 0.9, 1.5),
+        ),
+    ) { 30_000 }
+
+    private fun job(workload: String, dueS: Double?): OpenJob {
+        val spec = JobSpec("j-1", workload, "t", Shape.ARRAY, Priority.STANDARD, 10, Resources(1.0, 0.0, 1.0), "i", 1.0, null, null, false, false, true, 5.0, 0.0, 0.0, dueS)
+        return OpenJob(JobEntry(0, 10), spec, 0, -1, null, -1, 0)
+    }
+
+    // One aim of each kind was kept once, the last: then every class with a limit of minutes passed for urgent.
+    @Test
+    fun `only a class whose users wait for starts is one, whatever else is said of it`() {
+        assertTrue(aims.startsCount(job("urgent", null)))
+        assertFalse(aims.startsCount(job("batch", null)))
+        assertTrue(aims.startable(job("urgent", null), 3_900))
+        assertFalse(aims.startable(job("urgent", null), 4_100))
+        assertFalse(aims.mustStart(job("batch", null), 70_000))
+        assertTrue(aims.mustStart(job("batch", null), 80_000))
+        assertFalse(aims.mustStart(job("batch", null), 151_000))
+    }
+
+    @Test
+    fun `when one aim is missed the next one counts`() {
+        val batch = job("batch", null)
+        assertEquals(listOf(200_000L, 300_000L, 300_000L), listOf(0L, 195_000L, 400_000L).map { aims.dueWall(batch, it, 10_000) })
+        val urgent = job("urgent", 20.0)
+        assertEquals(listOf(20_000L, 30_000L, 30_000L), listOf(10_000L, 10_001L, 25_000L).map { aims.dueWall(urgent, it, 10_000) })
+        assertEquals(Long.MAX_VALUE, aims.dueWall(job("other", null), 0, 1))
+    }
+}
