--- a/src/main/kotlin/org/chalkhollow/core/Aims.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Aims.kt
@@ -29,9 +29,12 @@
      */
     fun startsCount(job: OpenJob): Boolean = (starts[job.spec.workload]?.firstOrNull() ?: return false) < leastBootMs()
 
-    /** Whether tasks that start now are still in time for the class's first aim on starting. */
+    /**
+     * Whether tasks of such a class that start now are still in time for its last aim on starting. Ending with the first of
+     * them put what had just come before what had waited for seconds, and half a flood of urgent work was late that need not be.
+     */
     fun startable(job: OpenJob, wall: Long): Boolean =
-        startsCount(job) && wall < job.acceptedWall + (starts[job.spec.workload]?.first() ?: return false)
+        startsCount(job) && wall < job.acceptedWall + (starts[job.spec.workload]?.last() ?: return false)
 
     /** Whether most of the time that the class's tasks may wait for their start is over, and not all of it. */
     fun mustStart(job: OpenJob, wall: Long): Boolean {
