What was stopped is forgotten only under a newer token

Nothing but a newer token voids copies. Completed attempts are forgotten as before, since they would end as soon as they begin.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -294,6 +294,7 @@
         for (a in starts) {
             a.phase = Attempt.Phase.SENT
             a.directPending = true
+            a.sentDirectly = true
         }
         m.directBusy = true
         m.askedAt = desk.steady
@@ -353,7 +354,7 @@
             m.state == Machine.State.UP && m.attempts.any {
                 it.directPending && t - it.since > STUCK_MS &&
                     (it.phase == Attempt.Phase.SENT && it.job.cancelled || it.phase == Attempt.Phase.EXITED && it.forgettable)
-            }
+            } || m.attempts.size > MOST_KEPT && m.attempts.count { it.phase == Attempt.Phase.EXITED && it.forgettable } > MOST_KEPT
         }
         if (!stuck) return
         generationRaisedAt = t
@@ -371,6 +372,9 @@
         const val RAISE_MS = 20_000L
         const val STUCK_MS = 6000L
 
+        /** More tasks that are over than this are not kept in a machine's reports for want of a newer token. */
+        const val MOST_KEPT = 200
+
         /** Each takes a connection; those that are left out are asked the next time. */
         const val MOST_ASKED = 20
     }
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -276,7 +276,7 @@
         val out = silent(t)
         for (m in byName.values) {
             if (m.state == Machine.State.DELETING || m in out) continue
-            if (m.attempts.isNotEmpty() || m.state != Machine.State.UP) m.idleSince = Machine.NEVER
+            if (!m.vacant || m.state != Machine.State.UP) m.idleSince = Machine.NEVER
             else if (m.idleSince == Machine.NEVER) m.idleSince = t
             if (m.failedJobs.size >= SICK_JOBS && !m.draining) {
                 m.draining = true
@@ -356,8 +356,8 @@
                 t - takenOverAt > leaseMs * 2
             m.state == Machine.State.UP && m.deafSince != Machine.NEVER && t - m.deafSince > deafMs && t - takenOverAt > deafMs -> true
             m.draining -> !m.busy
-            m.retiring && m.state == Machine.State.UP -> m.attempts.isEmpty()
-            m.noticeAt != Machine.NEVER -> !m.busy && m.attempts.isEmpty()
+            m.retiring && m.state == Machine.State.UP -> m.vacant
+            m.noticeAt != Machine.NEVER -> m.vacant
             else -> false
         }
     }
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -106,6 +106,12 @@
     /** A direct start without a known outcome: neither to be forgotten nor taken for absent. */
     var directPending = false
 
+    /** Its start went straight to the worker, so that a copy of it may come at any time while our token holds there. */
+    var sentDirectly = false
+
+    /** It ended by completing: begun once more it would only end once more. */
+    var completed = false
+
     /** Its end is recorded, or needs no record. */
     var forgettable = false
     var stopping = false
--- a/src/main/kotlin/org/chalkhollow/core/Overview.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Overview.kt
@@ -42,7 +42,7 @@
         !m.hears -> "deaf"
         m.noticeAt != Machine.NEVER -> "noticed"
         m.draining || m.retiring -> "draining"
-        m.attempts.isEmpty() -> "idle"
+        m.vacant -> "idle"
         else -> "busy"
     }
 
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -166,6 +166,7 @@
             job.ranS += (desk.steady - a.since) / 1000.0
         }
         a.phase = Attempt.Phase.EXITED
+        a.completed = cause == ExitCause.DONE
         if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN && job.spec.shape != Shape.SERVICE) {
             a.machine.failedJobs.clear()
             if (!job.done.get(a.index)) {
@@ -245,7 +246,7 @@
                     }
                 }
                 Attempt.Phase.SENT -> if (a.directPending && !a.inherited && !unwanted && startsAllowed) out.add(Command.Start(id, a.index, a.number))
-                Attempt.Phase.EXITED -> if (a.forgettable && !a.directPending) out.add(Command.Forget(id, a.index, a.number))
+                Attempt.Phase.EXITED -> if (a.forgettable && mayForget(a)) out.add(Command.Forget(id, a.index, a.number))
                 else -> if (unwanted) out.add(Command.Stop(id, a.index, a.number, 0.0))
                 else if (a.stopping) out.add(stop(a))
             }
@@ -258,6 +259,14 @@
         return out
     }
 
+    /**
+     * A worker that has forgotten an attempt begins it again when a copy of its start comes late, and what was stopped or
+     * cancelled would run unknown to us. So an attempt that this leader started directly is left to the next generation to forget,
+     * whose token voids all copies, unless it was completed: then it ends as soon as it begins. An earlier version took the
+     * first answer for the last.
+     */
+    private fun mayForget(a: Attempt): Boolean = !a.directPending && (!a.sentDirectly || a.completed && !a.job.cancelled)
+
     /** Stops a task so that it saves its progress if it can. */
     fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, a.job.spec.saveS + GRACE_S)
 
