A leader has read everything before it takes over

Now a candidate reads everything first. Every write raises the leadership record, and the take-over is conditional on the stamp that the record had before the reading began, so what was read is all there is.

A leader that the state service refuses alone keeps the lead, on its promises, until a peer says that it could follow at once (or 0.8 s): between giving up and a take-over nobody renews leases.

Tests: nobody stands without having read; what was read for another stamp counts for nothing; giving up waits for a prepared peer.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -23,6 +23,7 @@
     private val names = Names().apply { settings.teams.forEach { teams.intern(it.name) } }
     private val peerLabels = settings.peers.map { it.label }
     private val leadership = Leadership(desk, settings.label, peerLabels, incarnation, options, start.steady, this)
+    private val survey = Survey(desk, listOf(JobTable.JOB, JobTable.PROGRESS, DispatchLog.MARK, BaseFleet.PREFIX)) { leadership.onPrepared() }
     private val log = StateLog(desk, settings.stateLimits, options, leadership)
     private val jobs = JobTable(desk, names, settings.stateLimits)
     private val quotas = Quotas(settings.teams)
@@ -128,11 +129,7 @@
     private fun tick() {
         leadership.tick()
         door.tick()
-        val load = retryLoad
-        if (load != null && desk.steady >= retryLoadAt) {
-            retryLoad = null
-            load()
-        }
+        survey.tick()
         val leading = leadership.role == Leadership.Role.LEADER && loaded
         if (leading && leadership.entitled()) {
             fleet.lapse()
@@ -167,11 +164,15 @@
 
     private var leadAt = 0L
 
-    override fun onElected(generation: Long, stamp: Long, writes: Long) {
+    override fun prepare(stamp: Long) = survey.begin(stamp)
+
+    override fun prepared(stamp: Long): Boolean = survey.complete(stamp)
+
+    override fun unprepare() = survey.drop()
+
+    override fun onElected(generation: Long, stamp: Long, writes: Long, basis: Long) {
         term++
-        loaded = false
         leadAt = desk.steady
-        retryLoad = null
         jobs.clear()
         quotas.clear()
         settlement.clear()
@@ -180,36 +181,22 @@
         images.start()
         dispatch.start(generation)
         log.start(LeadRecord(settings.label, incarnationId, generation, writes), stamp)
-        load(JobTable.JOB, null) { load(JobTable.PROGRESS, null) { load(DispatchLog.MARK, null) { load(BaseFleet.PREFIX, null, ::rebuilt) } } }
+        desk.emit(Effect.Sample("takeover", survey.ageMs))
+        survey.take(basis).forEach(::take)
+        jobs.afterLoad()
+        loaded = true
+        leadership.ready = true
+        door.open = true
+        desk.info("rebuilt ${jobs.size} jobs (${jobs.open.size} open), ${fleet.machines.sumOf { it.attempts.size }} attempts in doubt")
     }
 
     override fun onDeposed() {
         term++
         loaded = false
-        retryLoad = null
         log.stop()
         door.close()
     }
 
-    private fun load(prefix: String, after: String?, then: () -> Unit) {
-        val inTerm = term
-        desk.state(StateOp.List(prefix, after)) { reply ->
-            if (term != inTerm) return@state
-            if (reply !is StateReply.Page) {
-                // Ask again with the next tick of the leader's life; until then nothing is placed or answered.
-                retryLoad = { load(prefix, after, then) }
-                retryLoadAt = desk.steady + LOAD_RETRY_MS
-                return@state
-            }
-            reply.rows.rows.forEach(::take)
-            val last = reply.rows.rows.lastOrNull()?.key
-            if (reply.rows.more && last != null) load(prefix, last, then) else then()
-        }
-    }
-
-    private var retryLoad: (() -> Unit)? = null
-    private var retryLoadAt = 0L
-
     private fun take(row: Row) {
         try {
             when {
@@ -225,20 +212,6 @@
         }
     }
 
-    private fun rebuilt() {
-        jobs.afterLoad()
-        loaded = true
-        leadership.ready = true
-        door.open = true
-        desk.emit(Effect.Sample("takeover", desk.steady - leadAt))
-        desk.info("rebuilt ${jobs.size} jobs (${jobs.open.size} open), ${fleet.machines.sumOf { it.attempts.size }} attempts in doubt")
-        for (m in fleet.machines) {
-            val early = m.early ?: continue
-            m.early = null
-            settlement.reconcile(m, early, beat = true)
-        }
-    }
-
     /** One placement round as part of the next transaction: its marker is written before any start is sent. */
     private fun place(room: StateLog.Room): Write? {
         if (!loaded || room.ops < 1 || desk.steady < roundAt || log.stalled()) return null
@@ -277,10 +250,9 @@
         if (newer) {
             m.seq = report.seq
             images.recall(m)
-            if (loaded) settlement.reconcile(m, report, beat = true) else m.early = report
+            settlement.reconcile(m, report, beat = true)
         }
-        val commands = if (loaded) settlement.commands(m, startsAllowed = newer) else emptyList()
-        desk.answer(call, 200, WorkerCodec.commands(leadership.generation, commands))
+        desk.answer(call, 200, WorkerCodec.commands(leadership.generation, settlement.commands(m, startsAllowed = newer)))
     }
 
     /** Stops, and starts whose marker has just become durable go straight to the worker; the next report's answer repeats them. */
@@ -368,7 +340,6 @@
         const val ROUND_MS = 100L
         const val IDLE_ROUND_MS = 900L
         const val UP_MS = 3500L
-        const val LOAD_RETRY_MS = 250L
         const val RAISE_MS = 20_000L
         const val STUCK_MS = 6000L
 
--- a/src/main/kotlin/org/chalkhollow/core/Leadership.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Leadership.kt
@@ -40,7 +40,20 @@
     private val events: Events,
 ) {
     interface Events {
-        fun onElected(generation: Long, stamp: Long, writes: Long)
+        /**
+         * To read all that leaders have written, from now on, when the leadership record has [stamp]. Every write raises the
+         * record, so if it still has that stamp when this controller takes over, what was read is all there is.
+         */
+        fun prepare(stamp: Long)
+
+        /** Whether all was read since the record had [stamp]. */
+        fun prepared(stamp: Long): Boolean
+
+        /** What was read is out of date. */
+        fun unprepare()
+
+        /** This controller leads; nothing was written since the record had [basis], for which it is prepared. */
+        fun onElected(generation: Long, stamp: Long, writes: Long, basis: Long)
         fun onDeposed()
     }
 
@@ -91,6 +104,9 @@
      */
     private var knowsRecord = false
 
+    /** Why this controller may take over the record that it last saw without anybody's vote, or null. */
+    private var claim: String? = null
+
     // What a leader holds.
     private var ledGeneration = 0L
     private var renewedAt = NEVER
@@ -102,6 +118,10 @@
     /** By peer: when the newest promise was asked for that came with word that the state service serves that peer. */
     private val servedElsewhereAt = LongArray(peers.size) { NEVER }
 
+    /** By peer: whether it has read all that this leader wrote, so that it could take over at once. */
+    private val preparedElsewhere = BooleanArray(peers.size)
+    private var makesWaySince = NEVER
+
     /** A peer that was served within this time says that it is. */
     private val servedMs = options.leaderRenewMs * 2 + 200
     private var failingSince = NEVER
@@ -154,10 +174,15 @@
 
     private fun follow(t: Long) {
         if (!reading && t >= readDueAt) read()
+        if (t - servedAt > options.leaderRenewMs * 2 + 700) return // nothing can be read or written now
+        claim?.let { return claimed(it) }
         val record = seen ?: return
         val stale = t - seenSince
-        if (!released(record, standOffset()) && stale < stretched(options.leaderLeaseMs) + standOffset() || t < promisedUntil) return
-        if (t - servedAt > options.leaderRenewMs * 2 + 700) return // nothing can be written now
+        val released = released(record, standOffset())
+        if (!released && stale < options.leaderLeaseMs - PREPARE_AHEAD_MS) return
+        events.prepare(seenStamp)
+        if (!released && stale < stretched(options.leaderLeaseMs) + standOffset() || t < promisedUntil) return
+        if (!events.prepared(seenStamp)) return
         if (stale > stretched(options.outageLimitMs) || majority == 1) {
             votesUsedAt = NEVER
             return stand(if (majority == 1) "alone" else "record unchanged for $stale ms")
@@ -171,6 +196,20 @@
     private fun released(record: LeadRecord, sinceMs: Long): Boolean =
         record.generation == releasedGeneration && desk.steady - releasedAt >= sinceMs && servedAt > releasedAt
 
+    /** Takes over without votes, once all is read: a leader that does not know what was cancelled must not keep it running. */
+    private fun claimed(why: String) {
+        claim = why
+        events.prepare(seenStamp)
+        if (!events.prepared(seenStamp)) return
+        votesUsedAt = NEVER
+        stand(why)
+    }
+
+    /** What [Events.prepare] asked for was read. */
+    fun onPrepared() {
+        if (role == Role.FOLLOWER) follow(desk.steady)
+    }
+
     private fun askVotes(t: Long, record: LeadRecord) {
         voteAskedAt = t
         voteSeq++
@@ -205,8 +244,7 @@
                 servedAt = t
                 seen = null
                 seenStamp = 0
-                votesUsedAt = NEVER
-                stand("no record yet")
+                claimed("no record yet")
             }
             else -> readDueAt = t + RETRY_MS
         }
@@ -216,6 +254,8 @@
         if (stamp != seenStamp) {
             seenStamp = stamp
             seenSince = t
+            claim = null
+            events.unprepare()
             if (stamp > votedStamp && record.generation < votedGeneration) votedGeneration = record.generation
         }
         seen = record
@@ -223,9 +263,7 @@
         if (record.owner == label && (record.writes > 0 || record.incarnation == incarnation && record.generation == ledGeneration)) {
             // An earlier life has ended, and an earlier term of this life was given up: nobody holds that lease.
             // The generation rises all the same, since attempt numbers and tokens must not come twice.
-            if (t < yieldsUntil) return
-            votesUsedAt = NEVER
-            stand("this controller led before")
+            if (t >= yieldsUntil) claimed("this controller led before")
         }
         // A record of ours without a write is a take-over that nobody acted on: it may have been applied long after the
         // votes for it were given, and forgotten since. It is like anyone's record that has gone stale.
@@ -235,6 +273,8 @@
         val old = seen
         val record = LeadRecord(label, incarnation, maxOf(old?.generation ?: 0, generation) + 1, 0)
         role = Role.STANDING
+        claim = null
+        val basis = seenStamp
         // Our own vote binds us like any other: no promise to an older generation while this may still be applied.
         votedGeneration = maxOf(votedGeneration, record.generation)
         votedStamp = maxOf(votedStamp, seenStamp)
@@ -247,7 +287,7 @@
             when (reply) {
                 is StateReply.Committed -> {
                     servedAt = desk.steady
-                    if (votesUsedAt == NEVER || desk.steady - votesUsedAt < shrunk(options.promiseMs)) becomeLeader(record, reply.revision, sentAt)
+                    if (votesUsedAt == NEVER || desk.steady - votesUsedAt < shrunk(options.promiseMs)) becomeLeader(record, reply.revision, sentAt, basis)
                     else onRecord(record, reply.revision, desk.steady) // too late: the voters may have restarted and forgotten
                 }
                 else -> readDueAt = desk.steady
@@ -255,7 +295,7 @@
         }
     }
 
-    private fun becomeLeader(record: LeadRecord, stamp: Long, at: Long) {
+    private fun becomeLeader(record: LeadRecord, stamp: Long, at: Long, basis: Long) {
         role = Role.LEADER
         generation = record.generation
         ledGeneration = generation
@@ -265,14 +305,25 @@
         leaderPeer = -1
         promises.fill(NEVER)
         servedElsewhereAt.fill(NEVER)
+        preparedElsewhere.fill(false)
+        makesWaySince = NEVER
         promiseAskedAt = NEVER
         desk.info("leading generation $generation")
-        events.onElected(generation, stamp, record.writes)
+        events.onElected(generation, stamp, record.writes, basis)
         lead(desk.steady)
     }
 
     private fun lead(t: Long) {
-        if (servedElsewhere(t)) return makeWay("the state service serves others but not this controller")
+        if (servedElsewhere(t)) {
+            // Nobody renews the workers' leases from here until a peer leads, and if the state service falls silent for all in
+            // between, nobody does until it is back. So the lead is given up only once a peer could take it at once.
+            if (makesWaySince == NEVER) makesWaySince = t
+            if (preparedElsewhere.any { it } || t - makesWaySince > PREPARE_WAIT_MS) {
+                return makeWay("the state service serves others but not this controller")
+            }
+        } else {
+            makesWaySince = NEVER
+        }
         if (t - electedAt > Reach.WINDOW_MS && reach.lost(t)) {
             yieldsUntil = t + YIELD_MS
             return makeWay("workers reach other controllers but not this one")
@@ -313,6 +364,7 @@
         ready = false
         seen = null
         seenStamp = -1
+        claim = null
         seenSince = desk.steady
         readDueAt = desk.steady
         events.onDeposed()
@@ -362,7 +414,7 @@
             leaderReady = ask.ready
         }
         val served = t - servedAt < servedMs
-        desk.emit(Effect.Send(from, PeerMessage.Promise(ask.generation, ask.seq, granted, served, reach.here(t))))
+        desk.emit(Effect.Send(from, PeerMessage.Promise(ask.generation, ask.seq, granted, served, reach.here(t), events.prepared(seenStamp))))
     }
 
     private fun onPromise(from: Int, promise: PeerMessage.Promise, t: Long) {
@@ -372,6 +424,7 @@
         if (promise.granted) promises[from] = maxOf(promises[from], sentAt + shrunk(options.promiseMs))
         reach.told(from, promise.reports, t)
         if (promise.stateServed) servedElsewhereAt[from] = maxOf(servedElsewhereAt[from], sentAt)
+        preparedElsewhere[from] = promise.prepared
     }
 
     private fun onVoteAsk(from: Int, ask: PeerMessage.VoteAsk, t: Long) {
@@ -389,7 +442,7 @@
         val record = seen ?: return
         if (vote.generation != record.generation + 1) return
         votes[from] = true
-        if (votes.count { it } + 1 >= majority && (released(record, 0) || desk.steady - seenSince >= stretched(options.leaderLeaseMs))) {
+        if (votes.count { it } + 1 >= majority && events.prepared(seenStamp) && (released(record, 0) || desk.steady - seenSince >= stretched(options.leaderLeaseMs))) {
             votesUsedAt = voteAskedAt
             stand("elected by peers")
         }
@@ -412,5 +465,11 @@
         const val HEARD_MS = 1600L
         const val SERVED_MARGIN_MS = 450L
         const val YIELD_MS = 8000L
+
+        /** A record that has not changed for nearly the lease is a reason to read what a new leader needs. */
+        const val PREPARE_AHEAD_MS = 450L
+
+        /** How long a leader that is refused alone waits for a peer that could follow it at once. */
+        const val PREPARE_WAIT_MS = 800L
     }
 }
--- a/src/main/kotlin/org/chalkhollow/core/Machine.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Machine.kt
@@ -4,7 +4,6 @@
 import org.chalkhollow.model.MachineType
 import org.chalkhollow.model.Resources
 import org.chalkhollow.wire.TaskReport
-import org.chalkhollow.wire.WorkerReport
 
 /** A machine as this leader knows it. */
 class Machine(val id: Int, val name: String) {
@@ -68,8 +67,6 @@
     var failed = false
     var listedStarting = false
 
-    /** A report that came before the rebuild was done, to be taken in then. */
-    var early: WorkerReport? = null
     var fullUntil = NEVER
 
     /** Reports of sessions up to this one are from before the lease lapsed, and mean nothing. */
--- a/src/main/kotlin/org/chalkhollow/mesh/PeerMessage.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/PeerMessage.kt
@@ -18,11 +18,18 @@
 
     /**
      * The answer to [PromiseAsk]; [stateServed] says whether the state service has lately served this peer, [reports] how many
-     * workers' reports have lately come to it.
+     * workers' reports have lately come to it, [prepared] whether it has read all that a new leader has to know.
      */
     @Serializable
     @SerialName("promise")
-    data class Promise(val generation: Long, val seq: Long, val granted: Boolean, val stateServed: Boolean, val reports: Int = 0) : PeerMessage
+    data class Promise(
+        val generation: Long,
+        val seq: Long,
+        val granted: Boolean,
+        val stateServed: Boolean,
+        val reports: Int = 0,
+        val prepared: Boolean = false,
+    ) : PeerMessage
 
     /** The leader of [generation] gives it up: promises made to it bind no longer. */
     @Serializable
--- a/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
@@ -42,7 +42,22 @@
         var deposed = false
         val leadership = Leadership(desk, "m", List(peers) { "p$it" }, 77, options, 0, this)
 
-        override fun onElected(generation: Long, stamp: Long, writes: Long) {
+        /** The stamp of the record for which all was read, as far as the test lets it be. */
+        var preparedFor: Long? = null
+        var reads = true
+
+        override fun prepare(stamp: Long) {
+            if (reads) preparedFor = stamp
+        }
+
+        override fun prepared(stamp: Long) = preparedFor == stamp
+
+        override fun unprepare() {
+            preparedFor = null
+        }
+
+        override fun onElected(generation: Long, stamp: Long, writes: Long, basis: Long) {
+            assertEquals(preparedFor, basis)
             elected = generation
         }
 
@@ -201,6 +216,25 @@
         assertTrue(alone.deposed, "holds on although its peers are served")
     }
 
+    // Between giving up and a peer's take-over nobody renews the workers' leases; an outage that began there cost all of them.
+    @Test
+    fun `a leader that is refused alone gives up once a peer could follow at once, or after a while`() {
+        fun gaveUpAt(prepared: Boolean): Long {
+            val b = Bench(2)
+            b.answer(b.at(0).filterIsInstance<Effect.State>().single(), StateReply.Missing)
+            b.answer(b.desk.drain().filterIsInstance<Effect.State>().single(), StateReply.Committed(2))
+            b.leadership.writeFailed()
+            for (t in 100L..9000L step 100) {
+                val asks = b.at(t).filterIsInstance<Effect.Send>().mapNotNull { it.message as? PeerMessage.PromiseAsk }
+                if (b.deposed) return t
+                for (ask in asks.take(1)) b.at(t) { onPeer(0, PeerMessage.Promise(1, ask.seq, true, true, prepared = prepared)) }
+            }
+            return Long.MAX_VALUE
+        }
+        val ready = gaveUpAt(prepared = true)
+        assertTrue(gaveUpAt(prepared = false) in ready + 800..ready + 1000)
+    }
+
     @Test
     fun `a leader that gave up is followed at once, its lease notwithstanding`() {
         fun asksForVotes(released: Boolean): Boolean {
@@ -252,6 +286,40 @@
         assertEquals(null, c.whenLate(Now(30_000, 30_000), Effect.Direct(1, "127.0.0.1:9", 1, 1, emptyList())))
     }
 
+    // A leader that had yet to read what was cancelled kept it running for as long as an outage lasted that began just then.
+    @Test
+    fun `nobody stands before having read all that was written, neither with votes nor without`() {
+        for (reads in listOf(false, true)) {
+            val b = Bench(2).also { it.reads = reads }
+            val watched = b.watch(0, 5_000, stamp = 4)
+            assertEquals(reads, watched.any { it is Effect.Send && it.message is PeerMessage.VoteAsk })
+            val again = Bench(2).also { it.reads = reads }
+            again.answer(again.at(0).filterIsInstance<Effect.State>().single(), again.record("m", 76, 12))
+            assertEquals(reads, again.desk.drain().any { it is Effect.State && it.op is StateOp.Commit })
+        }
+    }
+
+    @Test
+    fun `what was read for a record that has changed since counts for nothing`() {
+        val desk = Desk(1).also { it.now = Now(0, 0) }
+        var completed = 0
+        val survey = Survey(desk, listOf("x/", "y/")) { completed++ }
+        fun answer(vararg keys: String, more: Boolean = false) {
+            val e = desk.drain().filterIsInstance<Effect.State>().last()
+            desk.reply(Input.State(e.ticket, StateReply.Page(Rows(keys.map { Row(it, "v", 1) }, more))))
+        }
+        survey.begin(7)
+        answer("x/1", more = true)
+        survey.begin(8)
+        answer("x/1", "x/2")
+        assertFalse(survey.complete(8))
+        answer("y/1")
+        assertTrue(survey.complete(8))
+        assertFalse(survey.complete(7))
+        assertEquals(listOf("x/1", "x/2", "y/1"), survey.take(8).map { it.key })
+        assertEquals(1, completed)
+    }
+
     @Test
     fun `a controller that led before its restart takes over at once with a new generation`() {
         val b = Bench(2)
