Nothing waits for good beside machines with room for it

A job that had failed on a machine was kept from it for good, and room kept free for urgent work or for tasks that fit no other type was kept without end. Both end now: a machine is avoided for 45 s after a failure, and what has waited for 60 s takes the room that was kept.

--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -382,7 +382,7 @@
 
     private fun couldTake(m: Machine, job: OpenJob): Boolean {
         val type = types.getOrNull(m.type) ?: return false
-        return allows(job, m.type, m.zone, m.spot) && Placement.fitsType(job, m.type, type) && m.id !in job.failedOn
+        return allows(job, m.type, m.zone, m.spot) && Placement.fitsType(job, m.type, type) && !job.avoids(m.id, desk.steady)
     }
 
     /** The dearer a machine is, compared with the cheapest way to have its like, the sooner it goes. */
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.core
 
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
+import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.JobState
@@ -36,11 +37,29 @@
     /** Nothing is placed before this moment, since tasks failed. */
     var notBefore = 0L
     var failures = 0
-    val failedOn = IntOpenHashSet()
+
+    /** When a task of it last failed on a machine, by machine. */
+    private val failedAt = Int2LongOpenHashMap()
+
+    fun failedOn(machine: Int, t: Long) {
+        failedAt.put(machine, t)
+    }
+
+    /**
+     * Whether a task of it failed on [machine] lately. What was wrong there may be over: an earlier version kept such a machine
+     * from the job for good, and a job that had failed everywhere waited for ever beside machines with room.
+     */
+    fun avoids(machine: Int, t: Long): Boolean = failedAt.containsKey(machine) && t - failedAt.get(machine) < AVOID_MS
+
+    /** Whether tasks of it failed on several machines lately. */
+    fun failsAround(t: Long): Boolean = failedAt.size > 2 && failedAt.values.count { t - it < AVOID_MS } > 2
 
     /** When a task of it was last placed by this leader, by the time of day, and the CPUs it is owed for having been passed over. */
     var placedWall = acceptedWall
     var owedCpus = 0.0
+
+    /** When nothing of it was left waiting last. */
+    var allPlacedWall = acceptedWall
     var owedSinceWall = 0L
 
     /** The one machine type that can hold its tasks although others exist, or -1; see [Placement]. */
@@ -78,6 +97,10 @@
         doneCount++
         return true
     }
+
+    private companion object {
+        const val AVOID_MS = 45_000L
+    }
 }
 
 /** What stays of a job for ever: its state and its size. */
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -116,7 +116,13 @@
     fun reserve(): Double = if (urgentSizes.isEmpty()) 0.0 else options.urgentReserve * urgentSizes.average()
 
     private fun yields(job: OpenJob): Boolean =
-        job.spec.priority >= Priority.STANDARD && !aims.startsCount(job) && !withinGuarantee(job) && !pressing(job, 0.0)
+        job.spec.priority >= Priority.STANDARD && !aims.startsCount(job) && !withinGuarantee(job) && !pressing(job, 0.0) && !waitsLong(job)
+
+    /**
+     * Whether some of the job has waited for so long that room kept for other work is no longer kept from it. An earlier version
+     * kept it for ever, so that work waited beside machines with room for it.
+     */
+    private fun waitsLong(job: OpenJob): Boolean = desk.now.wall - job.allPlacedWall > KEPT_FROM_MS
 
     fun round(): List<Allocation> {
         preempted.clear()
@@ -171,7 +177,7 @@
             val ready = job.ready.cardinality() - (taken[job] ?: 0)
             val wanted = minOf(ready, headroom(job, given, givenCards))
             var want = wanted
-            if (job.failedOn.size > 2 && job.failures > 0) want = minOf(want, 1) // a probe, not the whole array
+            if (job.failures > 0 && job.failsAround(desk.steady)) want = minOf(want, 1) // a probe, not the whole array
             if (goesFirst(job) && !job.gang) want = minOf(want, maxOf(1, (minOf(job.owedCpus, owedLeft) / maxOf(job.each.cpus, 0.1)).toInt()))
             else if (yields(job)) want = minOf(want, ((free - reserve) / maxOf(job.each.cpus, 0.1)).toInt())
             if (job.gang && (!job.live.isEmpty() || want < ready)) want = 0 // all at once or not at all
@@ -183,6 +189,7 @@
                 else -> place(job, want, machines, out, taken[job] ?: 0, heldOnly)
             }
             if (placed > 0) note(job, placed)
+            if (placed == ready) job.allPlacedWall = desk.now.wall
             if (heldOnly || placed >= wanted) return
             if (want > 0) backlog += (wanted - placed) * job.each.cpus * job.spec.expectedS
             left.add(Unplaced(job, wanted - placed, want > 0 && pressing(job, backlog / maxOf(1.0, capacity))))
@@ -448,7 +455,7 @@
     fun mayUse(job: OpenJob, m: Machine): Boolean = allowed(job, m)
 
     private fun allowed(job: OpenJob, m: Machine): Boolean =
-        fleet.allows(job, m.type, m.zone, m.spot) && m.id !in job.failedOn && !sparedFor(job, m.type)
+        fleet.allows(job, m.type, m.zone, m.spot) && !job.avoids(m.id, desk.steady) && !sparedFor(job, m.type)
 
     /** When jobs that fit no other type were last seen, and last seen waiting, by type. */
     private val onlyHereSeen = Int2LongOpenHashMap().apply { defaultReturnValue(Machine.NEVER) }
@@ -483,7 +490,7 @@
     private fun sparedFor(job: OpenJob, type: Int): Boolean {
         val t = desk.steady
         if (t - onlyHereSeen.get(type) > SCARCE_MS || job.onlyType == type) return false
-        if (aims.startsCount(job) || job.spec.priority < Priority.STANDARD) return false
+        if (aims.startsCount(job) || job.spec.priority < Priority.STANDARD || waitsLong(job)) return false
         val waited = desk.now.wall - job.acceptedWall
         return waited < PATIENCE_MS || t - onlyHereWaited.get(type) < PATIENCE_MS
     }
@@ -496,6 +503,7 @@
         private const val SIZES_KEPT = 50
         private const val SCARCE_MS = 300_000L
         private const val PATIENCE_MS = 30_000L
+        private const val KEPT_FROM_MS = 60_000L
         private const val SURE_FACTOR = 0.8 // estimates are often too high; what may still do is not given up
         private const val LATE_FACTOR = 1.5
 
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -188,10 +188,10 @@
     private fun failed(a: Attempt) {
         val job = a.job
         a.machine.failedJobs.add(job.entry.id)
-        job.failedOn.add(a.machine.id)
+        job.failedOn(a.machine.id, desk.steady)
         job.failures++
         // One machine's faults should not hold a job up; a job that fails wherever it goes waits longer and longer.
-        if (job.failedOn.size > 2) {
+        if (job.failsAround(desk.steady)) {
             val wait = FAILED_MS shl minOf(job.failures / 3, 5)
             job.notBefore = maxOf(job.notBefore, desk.steady + wait)
         }
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/core/WaitingTest.kt
@@ -0,0 +1,53 @@
+package org.chalkhollow.core
+
+import org.chalkhollow.model.Priority
+import org.chalkhollow.model.Resources
+import org.chalkhollow.rehearsal.Rehearsal
+import org.chalkhollow.settings.Objective
+import org.chalkhollow.settings.OperatorSettings
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** Nothing waits for good beside machines that have room for it. */
+class WaitingTest {
+    private fun calm(capacity: Int, objectives: List<Objective> = emptyList()): Rehearsal {
+        val r = Rehearsal(17, OperatorSettings(idleReturnS = 900.0), capacity = capacity, objectives = objectives)
+        r.network.loss = 0.0
+        r.network.late = 0.0
+        r.begin(0, 1, machines = 0)
+        repeat(capacity) { r.cloud.add(r.types[0], r.zones[it % 2], false, 0) }
+        return r
+    }
+
+    // Machines on which a job had failed were kept from it for good, though what was wrong there was over.
+    @Test
+    fun `a job that failed on every machine runs once they are well again`() {
+        val r = calm(capacity = 3)
+        r.world.runUntil(8000)
+        r.cloud.workers.forEach { it.sick = true }
+        r.users.submit { it.copy(id = "j-1", tasks = 6, each = Resources(2.0, 0.0, 1.0), types = null, zone = null, together = false, spread = false, spotAllowed = false, expectedS = 4.0) }
+        r.world.runUntil(20_000)
+        r.cloud.workers.forEach { it.sick = false }
+        r.world.runUntil(110_000)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertEquals(1, r.rules.doneCount, "it still waits: ${r.rules.pending()}")
+    }
+
+    // Room for as much urgent work as comes at a time was kept free from other work without end.
+    @Test
+    fun `room that is kept for urgent work is not kept from a job that waits long`() {
+        val r = calm(capacity = 2, objectives = listOf(Objective("wait", "urgent", 3.0, 0.9)))
+        r.world.runUntil(8000)
+        r.users.submit { it.copy(id = "j-1", workload = "urgent", team = "red", tasks = 4, each = Resources(4.0, 0.0, 1.0), types = null, zone = null, together = false, spread = false, spotAllowed = false, expectedS = 3.0) }
+        r.world.runUntil(20_000)
+        r.users.submit {
+            it.copy(
+                id = "j-2", workload = "other", team = "blue", priority = Priority.STANDARD, tasks = 6, each = Resources(4.0, 0.0, 1.0), types = null, zone = null,
+                together = false, spread = false, spotAllowed = false, expectedS = 3.0, dueS = null,
+            )
+        }
+        r.world.runUntil(110_000)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertEquals(2, r.rules.doneCount, "it still waits: ${r.rules.pending()}")
+    }
+}
