--- a/src/test/kotlin/org/chalkhollow/core/WaitingTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/WaitingTest.kt
@@ -24,11 +24,14 @@
     fun `a job that failed on every machine runs once they are well again`() {
         val r = calm(capacity = 3)
         r.world.runUntil(8000)
+        // One long task on each machine, so that none idles and is exchanged for another.
+        r.users.submit { it.copy(id = "j-2", tasks = 3, each = Resources(2.0, 0.0, 40.0), types = null, zone = null, together = false, spread = false, spotAllowed = false, expectedS = 400.0) }
+        r.world.runUntil(40_000)
         r.cloud.workers.forEach { it.sick = true }
         r.users.submit { it.copy(id = "j-1", tasks = 6, each = Resources(2.0, 0.0, 1.0), types = null, zone = null, together = false, spread = false, spotAllowed = false, expectedS = 4.0) }
-        r.world.runUntil(20_000)
+        r.world.runUntil(52_000)
         r.cloud.workers.forEach { it.sick = false }
-        r.world.runUntil(110_000)
+        r.world.runUntil(140_000)
         assertEquals(emptyList<String>(), r.rules.violations)
         assertEquals(1, r.rules.doneCount, "it still waits: ${r.rules.pending()}")
     }
