Drop malformed frames between controllers loudly, and skip newer kinds

What could not be read was dropped in silence, and some junk made the decoder throw what nobody caught, which ended the connection. Malformed frames are now counted in the metrics and logged a few times a minute at most; a kind that only a newer version knows is logged once and skipped.

--- a/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
@@ -6,8 +6,6 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CancellationException
@@ -17,30 +15,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 import org.chalkhollow.settings.Address
 import org.chalkhollow.settings.Peer
 
-/** CBOR form of the messages between controllers. */
-@OptIn(ExperimentalSerializationApi::class)
-object Frames {
-    const val MAX = 256 * 1024
-    private val cbor = Cbor { ignoreUnknownKeys = true }
-
-    fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(PeerMessage.serializer(), message)
-
-    /** Null for what is no message of ours. */
-    fun decode(bytes: ByteArray): PeerMessage? = try {
-        cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
-    } catch (e: SerializationException) {
-        null
-    } catch (e: IllegalArgumentException) {
-        null
-    }
-}
-
 /** Connections to the other controllers: each sends on the one it opened and receives on those it accepted. */
 class MeshNode(
     private val scope: CoroutineScope,
@@ -48,8 +25,10 @@
     private val listen: Address,
     private val peers: List<Peer>,
     private val hello: PeerMessage.Hello,
-    private val receive: (Int, PeerMessage) -> Unit,
+    dropped: DroppedFrames,
+    receive: (Int, PeerMessage) -> Unit,
 ) {
+    private val listener = PeerListener(peers.map { it.label }, dropped, receive)
     private val queues = peers.map { Channel<PeerMessage>(QUEUE, BufferOverflow.DROP_OLDEST) }
 
     fun send(peer: Int, message: PeerMessage) {
@@ -77,16 +56,7 @@
 
     private suspend fun hear(socket: Socket) {
         try {
-            val input = socket.openReadChannel()
-            var peer = -1
-            while (true) {
-                val size = input.readInt()
-                if (size !in 1..Frames.MAX) break
-                val message = Frames.decode(input.readByteArray(size)) ?: continue
-                if (message is PeerMessage.Hello) peer = peers.indexOfFirst { it.label == message.label }
-                else if (peer >= 0) receive(peer, message)
-                else break
-            }
+            listener.hear(socket.openReadChannel())
         } catch (e: CancellationException) {
             throw e
         } catch (e: Throwable) {
--- /dev/null
+++ b/src/main/kotlin/org/chalkhollow/runtime/FrameComplaints.kt
@@ -0,0 +1,37 @@
+package org.chalkhollow.runtime
+
+import com.google.common.util.concurrent.RateLimiter
+import org.chalkhollow.mesh.DroppedFrames
+import org.slf4j.Logger
+
+/**
+ * Counts the frames of other controllers that were dropped, and logs some: malformed ones a few times a minute at most, and
+ * each kind of a newer version once.
+ */
+@Suppress("UnstableApiUsage")
+internal class FrameComplaints(private val log: Logger, private val meters: Meters) : DroppedFrames {
+    private val limiter = RateLimiter.create(PER_S)
+    private val kinds = HashSet<String>()
+
+    override fun malformed(peer: String?, why: String) {
+        meters.malformedFrame()
+        if (limiter.tryAcquire()) log.warn("a frame from {} is malformed and was dropped: {}", peer ?: "an unknown controller", plain(why))
+    }
+
+    override fun newer(peer: String?, kind: String) {
+        meters.newerFrame()
+        val name = plain(kind)
+        if (kinds.size < MOST_KINDS && kinds.add(name)) {
+            log.warn("{} sent a message of the unknown kind \"{}\", which a newer version may know; such messages are skipped", peer ?: "an unknown controller", name)
+        }
+    }
+
+    /** On one line, and short. */
+    private fun plain(text: String): String = text.take(MOST_CHARS).map { if (it.isISOControl()) ' ' else it }.joinToString("")
+
+    private companion object {
+        const val PER_S = 0.2
+        const val MOST_KINDS = 16
+        const val MOST_CHARS = 120
+    }
+}
--- a/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
@@ -13,10 +13,14 @@
 class Meters {
     private val answers = Int2LongOpenHashMap()
     private var malformedReports = 0L
+    private var malformedFrames = 0L
+    private var newerFrames = 0L
     private val histograms = LinkedHashMap<String, Histogram>()
     private val registry by lazy {
         SimpleMeterRegistry().also { r ->
             FunctionCounter.builder("chalkhollow.reports.malformed", this) { it.malformedReports.toDouble() }.register(r)
+            FunctionCounter.builder("chalkhollow.frames.malformed", this) { it.malformedFrames.toDouble() }.register(r)
+            FunctionCounter.builder("chalkhollow.frames.newer", this) { it.newerFrames.toDouble() }.register(r)
         }
     }
 
@@ -24,10 +28,20 @@
         answers.addTo(status, 1)
     }
 
-    fun malformed() {
+    fun malformedReport() {
         malformedReports++
     }
 
+    /** A frame from another controller that could not be read. */
+    fun malformedFrame() {
+        malformedFrames++
+    }
+
+    /** A frame from another controller of a kind that this version does not know. */
+    fun newerFrame() {
+        newerFrames++
+    }
+
     /** How long something of this kind took. */
     fun took(kind: String, micros: Long) =
         histograms.getOrPut(kind) { Histogram(MOST_MICROS, 2) }.recordValue(micros.coerceIn(0, MOST_MICROS))
--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -51,7 +51,7 @@
     private val workerLinks: WorkerLinks = WorkerLinks(scope, loop, settings.maxConnections - spareSockets) { server.connected }
     private val workers = WorkerClient(workerLinks::to)
     private val mesh = MeshNode(
-        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation),
+        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation), FrameComplaints(log, meters),
     ) { from, message -> feed(Input.Peer(from, message)) }
     private val server: HttpServer = HttpServer(
         scope, loop, settings.clientListen, maxOf(8, settings.maxConnections * 8 / 10 - spareSockets), { steady() }, { workerLinks.trim(1) }, ::handle,
@@ -178,7 +178,7 @@
         val report = try {
             reports.read(body)
         } catch (e: Malformed) {
-            meters.malformed()
+            meters.malformedReport()
             if (complaints.tryAcquire()) log.warn("a worker's report is malformed: {}", e.message)
             return HttpReply(400, null)
         }
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/mesh/PeerListenerTest.kt
@@ -0,0 +1,110 @@
+package org.chalkhollow.mesh
+
+import io.ktor.utils.io.ByteReadChannel
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.io.EOFException
+import java.nio.ByteBuffer
+import java.util.SplittableRandom
+
+class PeerListenerTest {
+    /** What a version after this one might say. */
+    @Serializable
+    private sealed interface Later {
+        @Serializable
+        @SerialName("gossip")
+        class Gossip(val words: List<String>, val more: Map<String, Long>) : Later
+
+        @Serializable
+        @SerialName("release")
+        class Release(val generation: Long, val reason: String) : Later
+    }
+
+    private class Dropped : DroppedFrames {
+        val malformed = ArrayList<String?>()
+        val newer = ArrayList<String>()
+
+        override fun malformed(peer: String?, why: String) {
+            malformed.add(peer)
+        }
+
+        override fun newer(peer: String?, kind: String) {
+            newer.add("$peer $kind")
+        }
+    }
+
+    private val dropped = Dropped()
+    private val heard = ArrayList<Pair<Int, PeerMessage>>()
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun later(message: Later) = Cbor.encodeToByteArray(Later.serializer(), message)
+
+    private fun hear(vararg frames: ByteArray, sizes: (ByteArray) -> Int = { it.size }) {
+        val bytes = frames.fold(byteArrayOf()) { all, f -> all + ByteBuffer.allocate(4).putInt(sizes(f)).array() + f }
+        runBlocking {
+            try {
+                PeerListener(listOf("a", "b"), dropped) { peer, m -> heard.add(peer to m) }.hear(ByteReadChannel(bytes))
+            } catch (e: EOFException) {
+                // The connection ended.
+            }
+        }
+    }
+
+    private val hello = Frames.encode(PeerMessage.Hello("b", 1))
+    private val release = Frames.encode(PeerMessage.Release(7))
+    private val expected = listOf(1 to PeerMessage.Release(7))
+
+    @Test
+    fun `a frame of a newer kind is skipped, told, and ends nothing`() {
+        hear(hello, later(Later.Gossip(listOf("x", "y"), mapOf("z" to 1L))), release)
+        assertEquals(expected, heard.toList<Any>())
+        assertEquals(listOf("b gossip"), dropped.newer)
+        assertEquals(emptyList<String?>(), dropped.malformed)
+    }
+
+    @Test
+    fun `a newer version's additional fields are ignored`() {
+        hear(hello, later(Later.Release(7, "tired")))
+        assertEquals(expected, heard.toList<Any>())
+        assertEquals(0, dropped.newer.size + dropped.malformed.size)
+    }
+
+    @Test
+    fun `a malformed frame is dropped and told, and the next one is heard`() {
+        hear(hello, byteArrayOf(0x42), release.copyOf(release.size - 3), byteArrayOf(0x9f.toByte(), 0x67), release)
+        assertEquals(expected, heard.toList<Any>())
+        assertEquals(listOf<String?>("b", "b", "b"), dropped.malformed)
+    }
+
+    @Test
+    fun `what cannot be read any further ends the connection and is told`() {
+        hear(hello, release, release) { if (it === hello) it.size else Frames.MAX + 1 }
+        hear(hello, release) { if (it === hello) it.size else -5 }
+        hear(release)
+        hear(Frames.encode(PeerMessage.Hello("stranger", 1)), release)
+        assertEquals(emptyList<Any>(), heard.toList<Any>())
+        assertEquals(listOf("b", "b", null, null), dropped.malformed)
+    }
+
+    @Test
+    fun `no bytes make the reading of a frame fail`() {
+        val random = SplittableRandom(11)
+        val samples = listOf(
+            hello, release, later(Later.Gossip(listOf("x"), emptyMap())), Frames.encode(PeerMessage.Forward(1, 1, "j-1", ByteArray(20))),
+            Frames.encode(PeerMessage.Promise(1, 2, true, false, 3)),
+        )
+        var malformed = 0
+        repeat(20_000) { i ->
+            val bytes = if (i % 4 == 0) ByteArray(random.nextInt(1, 60)).also(random::nextBytes) else samples[random.nextInt(samples.size)].clone()
+            repeat(random.nextInt(1, 4)) { bytes[random.nextInt(bytes.size)] = random.nextInt(256).toByte() }
+            if (Frames.read(bytes) is Frame.Malformed) malformed++
+        }
+        assertTrue(malformed > 5000, "only $malformed were malformed")
+    }
+}
