Door: every field is required, and a repetition is never refused

A submission must have every field but flavours, site and dueS; rows that earlier versions stored without an image or estimate are still read, by UserCodec.storedJob. A malformed submission whose id can be read is looked up by the leader, also when a follower passes it on: a known job's state, 400 for an unknown one, 503 while it is being accepted or nobody can tell. It is never accepted or held back. What can never run gets 422 also while nothing can be written. A passed-on request of an unknown kind was taken for a withdrawal, and is put off now. A refusal that was decided before the process stood still is no longer told by a leader that is none by then.

CodecTest no longer lists some required fields by hand: it tries every field, null and omitted, in every shape.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -111,14 +111,14 @@
 
     /**
      * What is still to be done of [effect], which the last step decided, when it comes only now: what only an entitled leader
-     * may say is said no more when this is none by now. Writes need no such check, their conditions hold or do not.
+     * may say is said no more when this is none by now, refusals included: the job may have been accepted since. Writes need no such check, their conditions hold or do not.
      */
     fun whenLate(now: Now, effect: Effect): Effect? {
         desk.now = now
         if (!ledAtStep || leadership.entitled()) return effect
         return when {
-            effect is Effect.Answer && effect.status < 300 -> Effect.Answer(effect.call, 503, null, 1)
-            effect is Effect.Send && effect.message is PeerMessage.Forwarded && effect.message.status < 300 ->
+            effect is Effect.Answer && effect.status < 500 -> Effect.Answer(effect.call, 503, null, 1)
+            effect is Effect.Send && effect.message is PeerMessage.Forwarded && effect.message.status < 500 ->
                 Effect.Send(effect.peer, PeerMessage.Forwarded(effect.message.seq, 503, ByteArray(0), 1))
             effect is Effect.Direct -> null // like a command that is lost on its way
             else -> effect
--- a/src/main/kotlin/org/chalkhollow/core/Door.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Door.kt
@@ -7,7 +7,6 @@
 import org.chalkhollow.model.JobState
 import org.chalkhollow.model.Resources
 import org.chalkhollow.model.Shape
-import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.UserCodec
 
 /**
@@ -53,6 +52,7 @@
         passed.put(seq, Passed(call, desk.steady + PASS_MS))
         val message = when (ask) {
             is UserAsk.Submit -> PeerMessage.Forward(seq, SUBMIT, ask.jobId, ask.raw)
+            is UserAsk.Unreadable -> PeerMessage.Forward(seq, SUBMIT, ask.jobId, ask.raw)
             is UserAsk.Poll -> PeerMessage.Forward(seq, POLL, ask.jobId, NOTHING)
             is UserAsk.Withdraw -> PeerMessage.Forward(seq, WITHDRAW, ask.jobId, NOTHING)
         }
@@ -63,14 +63,11 @@
         val call = nextRemoteCall--
         if (nextRemoteCall < -1_000_000_000) nextRemoteCall = -1
         origins.put(call, Origin(from, m.seq))
-        val ask = try {
-            when (m.kind) {
-                SUBMIT -> UserAsk.Submit(UserCodec.job(m.body), m.body)
-                POLL -> UserAsk.Poll(m.jobId)
-                else -> UserAsk.Withdraw(m.jobId)
-            }
-        } catch (e: Malformed) {
-            return reply(call, 400)
+        val ask = when (m.kind) {
+            SUBMIT -> UserAsk.ofSubmission(m.body) ?: return reply(call, 400)
+            POLL -> UserAsk.Poll(m.jobId)
+            WITHDRAW -> UserAsk.Withdraw(m.jobId)
+            else -> return later(call) // from a newer version: it must not be taken for anything else
         }
         if (leadership.entitled() && open) serve(call, ask) else later(call)
     }
@@ -82,6 +79,7 @@
 
     private fun serve(call: Int, ask: UserAsk) = when (ask) {
         is UserAsk.Submit -> submit(call, ask.spec)
+        is UserAsk.Unreadable -> unreadable(call, ask.jobId)
         is UserAsk.Poll -> poll(call, ask.jobId)
         is UserAsk.Withdraw -> withdraw(call, ask.jobId)
     }
@@ -94,9 +92,10 @@
             waiting.calls.add(call)
             return
         }
-        if (!fleet.catalogKnown || log.stalled() || accepting.size >= MOST_ACCEPTING) return later(call)
+        if (!fleet.catalogKnown) return later(call)
         if (!canEverRun(spec)) return reply(call, 422)
         if (!jobs.fits(spec)) return reply(call, 400)
+        if (log.stalled() || accepting.size >= MOST_ACCEPTING) return later(call)
         accepting[spec.id] = Waiting(arrayListOf(call), desk.steady)
         jobs.accept(spec) {
             accepting.remove(spec.id)?.calls?.forEachIndexed { i, c ->
@@ -105,6 +104,16 @@
         }
     }
 
+    /** A user hears 400 only for a job that was not accepted: a repetition is answered with the job's state, however it reads. */
+    private fun unreadable(call: Int, id: String) {
+        val known = jobs.find(id)
+        when {
+            known?.state != null -> reply(call, 200, UserCodec.status(id, status(known)))
+            id in accepting -> later(call)
+            else -> reply(call, 400)
+        }
+    }
+
     /** Whether the team exists and its limit and some allowed machine type admit at least one task. */
     private fun canEverRun(spec: JobSpec): Boolean {
         val team = names.teams.find(spec.team)
--- a/src/main/kotlin/org/chalkhollow/core/Io.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Io.kt
@@ -7,8 +7,10 @@
 import org.chalkhollow.wire.Command
 import org.chalkhollow.wire.Condition
 import org.chalkhollow.wire.ListedPage
+import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.Row
 import org.chalkhollow.wire.Rows
+import org.chalkhollow.wire.UserCodec
 import org.chalkhollow.wire.WorkerReport
 
 /** The moment of an input: [steady] never jumps, [wall] is the time of day; both in milliseconds. */
@@ -22,8 +24,23 @@
         override val jobId get() = spec.id
     }
 
+    /**
+     * A submission that is malformed, but whose [jobId] can be read: it is never accepted, and is refused only once it is
+     * certain that it does not repeat a job that was.
+     */
+    class Unreadable(override val jobId: String, val raw: ByteArray, val why: String?) : UserAsk
+
     class Poll(override val jobId: String) : UserAsk
     class Withdraw(override val jobId: String) : UserAsk
+
+    companion object {
+        /** What [body] asks as a submission, or null when it is malformed and names no job. */
+        fun ofSubmission(body: ByteArray): UserAsk? = try {
+            Submit(UserCodec.job(body), body)
+        } catch (e: Malformed) {
+            UserCodec.idIn(body)?.let { Unreadable(it, body, e.message) }
+        }
+    }
 }
 
 /** Everything that can happen to a controller. */
--- a/src/main/kotlin/org/chalkhollow/core/JobTable.kt
+++ b/src/main/kotlin/org/chalkhollow/core/JobTable.kt
@@ -173,7 +173,7 @@
         val id = row.key.substring(JOB.length)
         when (f.text("s")) {
             "open" -> {
-                val spec = UserCodec.job(Fields.of(f.map["j"], row.key))
+                val spec = UserCodec.storedJob(Fields.of(f.map["j"], row.key))
                 val entry = entry(id, spec.tasks)
                 entry.state = JobState.OPEN
                 openUp(entry, spec, f.long("at"))
@@ -184,7 +184,7 @@
                 entry.state = JobState.CANCELLED
                 // Its tasks may still be on machines, and count against the team's limit until they are gone: an earlier
                 // version forgot them at a change of leader and let the team exceed its limit.
-                f.map["j"]?.let { spec -> cancelledJobs[id] = lazy { describe(entry, UserCodec.job(Fields.of(spec, row.key)), 0) } }
+                f.map["j"]?.let { spec -> cancelledJobs[id] = lazy { describe(entry, UserCodec.storedJob(Fields.of(spec, row.key)), 0) } }
             }
         }
     }
--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -23,7 +23,6 @@
 import org.chalkhollow.settings.PlatformSettings
 import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.ReportReader
-import org.chalkhollow.wire.UserCodec
 import org.slf4j.LoggerFactory
 
 /**
@@ -186,13 +185,13 @@
     }
 
     private suspend fun submit(body: ByteArray): HttpReply {
-        val spec = try {
-            UserCodec.job(body)
-        } catch (e: Malformed) {
-            log.debug("a submission is malformed: {}", e.message)
+        val ask = UserAsk.ofSubmission(body)
+        if (ask == null) {
+            log.debug("a submission is malformed and names no job")
             return HttpReply(400, null)
         }
-        return call { Input.User(it, UserAsk.Submit(spec, body)) }
+        if (ask is UserAsk.Unreadable) log.debug("a submission of {} is malformed: {}", ask.jobId, ask.why)
+        return call { Input.User(it, ask) }
     }
 
     private suspend fun job(method: String, rest: String): HttpReply {
--- a/src/main/kotlin/org/chalkhollow/wire/UserCodec.kt
+++ b/src/main/kotlin/org/chalkhollow/wire/UserCodec.kt
@@ -4,6 +4,9 @@
 import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
 import org.chalkhollow.model.Shape
+import org.msgpack.core.MessagePack
+import org.msgpack.core.MessagePackException
+import org.msgpack.core.MessageUnpacker
 
 /** The users' side of the protocol: job descriptions in, job states out. */
 object UserCodec {
@@ -24,9 +27,41 @@
     fun validId(id: String): Boolean =
         id.length in 3..64 && id.startsWith("j-") && (2 until id.length).all { id[it] in '0'..'9' }
 
-    fun job(bytes: ByteArray): JobSpec = job(Pack.decodeMap(bytes))
+    /** Reads a submission, which must have every field; only `flavours`, `site` and `dueS` may be null or omitted. */
+    fun job(bytes: ByteArray): JobSpec = read(Pack.decodeMap(bytes), stored = false)
 
-    fun job(f: Fields): JobSpec {
+    /** Reads a job that was written down by [map], also by earlier versions that took jobs without an image or an estimate. */
+    fun storedJob(f: Fields): JobSpec = read(f, stored = true)
+
+    /**
+     * The job id in a submission that [job] cannot read, if it can still be read and has the right form: the body may be cut
+     * short or malformed after it.
+     */
+    fun idIn(bytes: ByteArray): String? {
+        var id: String? = null
+        try {
+            val unpacker = MessagePack.newDefaultUnpacker(bytes)
+            if (!unpacker.nextFormat.valueType.isMapType) return null
+            repeat(unpacker.unpackMapHeader()) {
+                val isId = unpacker.textOrSkip() == "nameId"
+                val value = unpacker.textOrSkip()
+                if (isId && value != null && validId(value)) id = value
+            }
+        } catch (e: MessagePackException) {
+            // What was read before stands.
+        } catch (e: java.io.IOException) {
+            // The same.
+        }
+        return id
+    }
+
+    private fun MessageUnpacker.textOrSkip(): String? {
+        if (nextFormat.valueType.isStringType) return unpackString()
+        skipValue()
+        return null
+    }
+
+    private fun read(f: Fields, stored: Boolean): JobSpec {
         val id = f.text("nameId")
         if (!validId(id)) throw Malformed("field nameId is missing or invalid")
         val shape = shapes[f.text("shape")] ?: throw Malformed("field shape is missing or invalid")
@@ -42,21 +77,21 @@
             priority = priorities[f.text("urgency")] ?: throw Malformed("field urgency is missing or invalid"),
             tasks = tasks.toInt(),
             each = Resources(f.amount("vcpus"), f.amount("cards"), f.amount("memoryGb")),
-            image = f.textOrNull("bundle")?.let { short(it, "bundle") },
-            imageGb = if (f.has("pullGb")) f.amount("pullGb") else 0.0,
+            image = if (stored && !f.has("bundle")) null else short(f.text("bundle"), "bundle"),
+            imageGb = if (stored && !f.has("pullGb")) 0.0 else f.amount("pullGb"),
             types = types,
             zone = f.textOrNull("site")?.let { short(it, "site") },
             together = f.flag("together"),
             spread = f.flag("spread"),
             spotAllowed = f.flag("standby"),
-            expectedS = if (shape == Shape.SERVICE && !f.has("expectedS")) 0.0 else f.amount("expectedS"),
+            expectedS = if (stored && shape == Shape.SERVICE && !f.has("expectedS")) 0.0 else f.amount("expectedS"),
             checkpointS = f.amount("snapshotS"),
             saveS = f.amount("flushS"),
             dueS = if (f.has("dueS")) f.amount("dueS") else null,
         )
     }
 
-    /** The same job as a map, in the form that [job] reads; it is also the form in which jobs are written down. */
+    /** The same job as a map, in the form in which jobs are written down: fields that are null are left out. */
     fun map(spec: JobSpec): Map<String, Any?> = mapOf(
         "nameId" to spec.id, "workload" to spec.workload, "owner" to spec.team, "shape" to shapeNames.getValue(spec.shape),
         "urgency" to priorityNames.getValue(spec.priority), "pieces" to spec.tasks,
--- a/src/test/kotlin/org/chalkhollow/wire/CodecTest.kt
+++ b/src/test/kotlin/org/chalkhollow/wire/CodecTest.kt
@@ -15,6 +15,8 @@
 
     private fun read(map: Map<String, Any?>) = UserCodec.job(Pack.encode(map))
 
+    private fun stored(map: Map<String, Any?>) = UserCodec.storedJob(Pack.decodeMap(Pack.encode(map)))
+
     @Test
     fun `a job is read, unknown fields are ignored, and it survives being written down`() {
         val spec = read(good + ("surprise" to listOf(1)))
@@ -38,9 +40,29 @@
             "together" to 1, "expectedS" to null, "owner" to "x".repeat(500), "dueS" to -5.0,
         )
         for ((field, value) in bad) assertThrows(Malformed::class.java, { read(good + (field to value)) }, "$field = $value")
-        for (field in listOf("nameId", "workload", "owner", "shape", "urgency", "pieces", "vcpus", "together", "standby")) {
-            assertThrows(Malformed::class.java, { read(good - field) }, "without $field")
+    }
+
+    @Test
+    fun `every field is required but the three that may be null or omitted, in every shape`() {
+        val optional = setOf("flavours", "site", "dueS")
+        for (shape in listOf("batch", "group", "service")) for (field in good.keys) {
+            val job = good + ("shape" to shape)
+            val without = listOf(job + (field to null)) + if (field == "shape") emptyList() else listOf(job - field)
+            for (map in without) {
+                if (field in optional) assertEquals("j-000412", read(map).id)
+                else assertThrows(Malformed::class.java, { read(map) }, "$shape without $field")
+            }
         }
+        assertThrows(Malformed::class.java) { read(good - "shape") }
+    }
+
+    @Test
+    fun `what earlier versions took without image or estimate is still read from the state service`() {
+        val stored = good + ("shape" to "service") - "bundle" - "pullGb" - "expectedS" - "site" - "dueS"
+        val spec = stored(stored)
+        assertEquals(listOf<Any?>(null, 0.0, 0.0), listOf(spec.image, spec.imageGb, spec.expectedS))
+        assertEquals(spec, stored(UserCodec.map(spec)))
+        assertThrows(Malformed::class.java) { stored(stored + ("shape" to "batch")) }
     }
 
     @Test
