--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -23,7 +23,6 @@
 import org.chalkhollow.settings.PlatformSettings
 import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.ReportReader
-import org.chalkhollow.wire.UserCodec
 import org.slf4j.LoggerFactory
 
 /**
@@ -51,7 +50,7 @@
     private val workerLinks: WorkerLinks = WorkerLinks(scope, loop, settings.maxConnections - spareSockets) { server.connected }
     private val workers = WorkerClient(workerLinks::to)
     private val mesh = MeshNode(
-        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation),
+        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation), FrameComplaints(log, meters),
     ) { from, message -> feed(Input.Peer(from, message)) }
     private val server: HttpServer = HttpServer(
         scope, loop, settings.clientListen, maxOf(8, settings.maxConnections * 8 / 10 - spareSockets), { steady() }, { workerLinks.trim(1) }, ::handle,
@@ -178,7 +177,7 @@
         val report = try {
             reports.read(body)
         } catch (e: Malformed) {
-            meters.malformed()
+            meters.malformedReport()
             if (complaints.tryAcquire()) log.warn("a worker's report is malformed: {}", e.message)
             return HttpReply(400, null)
         }
@@ -186,13 +185,13 @@
     }
 
     private suspend fun submit(body: ByteArray): HttpReply {
-        val spec = try {
-            UserCodec.job(body)
-        } catch (e: Malformed) {
-            log.debug("a submission is malformed: {}", e.message)
+        val ask = UserAsk.ofSubmission(body)
+        if (ask == null) {
+            log.debug("a submission is malformed and names no job")
             return HttpReply(400, null)
         }
-        return call { Input.User(it, UserAsk.Submit(spec, body)) }
+        if (ask is UserAsk.Unreadable) log.debug("a submission of {} is malformed: {}", ask.jobId, ask.why)
+        return call { Input.User(it, ask) }
     }
 
     private suspend fun job(method: String, rest: String): HttpReply {
