--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -112,7 +112,8 @@
 
     /**
      * What is still to be done of [effect], which the last step decided, when it comes only now: what only an entitled leader
-     * may say is said no more when this is none by now, refusals included: the job may have been accepted since. Writes need no such check, their conditions hold or do not.
+     * may say is said no more when this is none by now, refusals included: the job may have been accepted since. Writes need no
+     * such check, their conditions hold or do not.
      */
     fun whenLate(now: Now, effect: Effect): Effect? {
         desk.now = now
