Rehearsal: stand-ins know late and slow writes, saving, mute machines, held commands, odd users; tests of troubles that meet

Rules are stricter: entitlement is checked after each step, no task may wait while a machine has room, starts sent after a confirmed cancellation count, unfit jobs must not be accepted, cancellations must be answered.

--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
@@ -0,0 +1,153 @@
+package org.chalkhollow
+
+import org.chalkhollow.rehearsal.Stage
+import org.chalkhollow.rehearsal.Stage.Companion.START_MS
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Troubles with the state service and among the controllers that meet others; every rule is checked after each step. */
+class MeetingsTest {
+    @ParameterizedTest
+    @CsvSource("1,8000", "2,16000", "3,22000", "4,22000")
+    fun `jobs are called off just before a leader is refused alone, and an outage follows the handover`(seed: Long, leaseMs: Long) {
+        val broken = ArrayList<String>()
+        for (offset in 0L..5000L step 50) {
+            val s = Stage(seed, leaseMs)
+            s.begin(jobs = 16, long = 6, overMs = 60_000)
+            s.world.runUntil(START_MS - 300)
+            s.cancelNow(2)
+            s.at(START_MS - 100) { s.cancelNow(2) }
+            s.at(START_MS) { s.leader()?.let { s.r.state.refuse(it.label, 15_000) } }
+            s.at(START_MS + offset) { s.r.state.outage(40_000) }
+            s.world.runUntil(START_MS + 75_000)
+            if (s.r.rules.violations.isNotEmpty()) broken.add("$offset ms after the refusal: ${s.r.rules.violations.take(2)}")
+        }
+        assertTrue(broken.isEmpty(), broken.joinToString("\n"))
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `transactions without an answer are carried out late`(seed: Long) {
+        val s = Stage(seed)
+        s.begin()
+        s.at(START_MS) { s.r.state.lateWrites(0.3, 45_000) }
+        for (i in 0L..4L) s.at(START_MS + 2000 + i * 8000) { s.cancelNow(1) }
+        s.at(START_MS + 20_000) { s.leader()?.let { troubleCrash(s, it.label, 3000) } }
+        s.play(START_MS + 60_000)
+    }
+
+    private fun troubleCrash(s: Stage, label: String, backMs: Long) {
+        val node = s.r.nodes.first { it.label == label }
+        node.crash()
+        s.world.after(backMs) { node.start() }
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,300", "2,900", "3,2000", "4,4000")
+    fun `the state service is slow and then out while users cancel and ask`(seed: Long, slowMs: Long) {
+        val s = Stage(seed)
+        s.begin()
+        s.at(START_MS) { s.r.state.slow(slowMs, 15_000) }
+        for (i in 0L..4L) s.at(START_MS + 1000 + i * 3500) { s.cancelNow(1) }
+        s.at(START_MS + 15_000) { s.r.state.outage(38_000) }
+        s.at(START_MS + 30_000) { s.cancelNow(1) }
+        s.play(START_MS + 60_000)
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,8000", "2,16000", "3,22000", "4,16000")
+    fun `the state service refuses the leader and is then out while users cancel and ask`(seed: Long, leaseMs: Long) {
+        val s = Stage(seed, leaseMs)
+        s.begin()
+        s.at(START_MS) { s.leader()?.let { s.r.state.refuse(it.label, 7000 + seed * 500) } }
+        for (i in 0L..3L) s.at(START_MS + 200 + i * 2000) { s.cancelNow(1) }
+        s.at(START_MS + 5000 + seed * 800) { s.r.state.outage(38_000) }
+        s.at(START_MS + 25_000) { s.cancelNow(2) }
+        s.play(START_MS + 60_000)
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,8000", "2,16000", "3,22000")
+    fun `jobs are called off when the leader is refused, and a second later all are`(seed: Long, leaseMs: Long) {
+        for (lead in listOf(0L, 150L)) for (outAfter in listOf(800L, 1000L, 1300L)) {
+            val s = Stage(seed, leaseMs)
+            s.begin(jobs = 16, overMs = 60_000)
+            s.at(START_MS - lead) { s.cancelNow(5, if (seed == 3L) 6000 else 0) }
+            s.at(START_MS) { s.leader()?.let { s.r.state.refuse(it.label, 10_000) } }
+            s.at(START_MS + outAfter) { s.r.state.outage(35_000) }
+            s.world.runUntil(START_MS + 80_000)
+            s.holds()
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `controllers hand over and back, all end, and one returns, also within a second`(seed: Long) {
+        val s = Stage(seed)
+        s.begin()
+        s.at(START_MS) { s.leader()?.let { troubleCrash(s, it.label, 400) } }
+        s.at(START_MS + 4000) { s.leader()?.let { troubleCrash(s, it.label, 400) } }
+        s.at(START_MS + 8000) { s.cancelNow(2) }
+        s.at(START_MS + 8300) {
+            s.r.nodes.forEach { it.crash() }
+            s.world.after(100 + 250 * seed) { s.r.nodes[(seed % 3).toInt()].start() }
+            s.world.after(6000) { s.r.nodes.forEach { it.start() } }
+        }
+        s.at(START_MS + 22_000) {
+            s.r.nodes.forEach { it.crash() }
+            for (n in s.r.nodes) s.world.after(s.world.between(50, 900)) { n.start() }
+        }
+        s.at(START_MS + 30_000) { s.cancelNow(2) }
+        s.at(START_MS + 30_200) { s.leader()?.let { s.troubles.flap(it, 4) } }
+        s.play(START_MS + 50_000)
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,8000", "2,16000", "3,22000")
+    fun `all controllers are away for longer than the lease`(seed: Long, leaseMs: Long) {
+        val s = Stage(seed, leaseMs)
+        s.begin()
+        s.at(START_MS - 100) { s.cancelNow(2) }
+        s.at(START_MS) {
+            s.r.nodes.forEach { it.crash() }
+            for (n in s.r.nodes) s.world.after(leaseMs + s.world.between(500, 6000)) { n.start() }
+        }
+        s.at(START_MS + leaseMs - 1000) { s.cancelNow(2) }
+        s.play(START_MS + leaseMs + 15_000)
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,8000,true", "2,16000,false", "3,22000,true", "4,16000,true")
+    fun `a leader is cut from the state service and its peers while workers and users reach it`(seed: Long, leaseMs: Long, holds: Boolean) {
+        val s = Stage(seed, leaseMs)
+        s.begin()
+        s.at(START_MS) { s.leader()?.let { s.troubles.isolate(it, 32_000, holds) } }
+        for (i in 0L..4L) s.at(START_MS + 500 + i * 2500) { s.cancelNow(1) }
+        s.play(START_MS + 45_000)
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,false", "2,true", "3,true", "4,false")
+    fun `leaders change ten times in two minutes, also inside an outage`(seed: Long, outage: Boolean) {
+        val s = Stage(seed)
+        s.begin(jobs = 30, overMs = 130_000)
+        for (i in 0L..9L) {
+            s.at(START_MS + i * 12_000) { s.leader()?.let { troubleCrash(s, it.label, s.world.between(300, 3000)) } }
+            if (i % 3 == 1L) s.at(START_MS + i * 12_000 - s.world.between(0, 800)) { s.cancelNow(1) }
+        }
+        if (outage) s.at(START_MS + 47_000) { s.r.state.outage(30_000) }
+        s.play(START_MS + 135_000)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `jobs of two or three tasks end far apart across a change of leader`(seed: Long) {
+        val s = Stage(seed)
+        s.begin(jobs = 10, long = 8) { it.copy(tasks = 2 + (it.tasks + seed.toInt()) % 2, expectedS = 40.0) }
+        for (i in 0L..4L) s.at(START_MS + 2000 + i * 11_000) { s.leader()?.let { troubleCrash(s, it.label, 1500) } }
+        s.at(START_MS + 24_100) { s.r.state.outage(9000) }
+        s.play(START_MS + 60_000)
+    }
+}
--- a/src/test/kotlin/org/chalkhollow/rehearsal/CloudStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/CloudStand.kt
@@ -11,6 +11,7 @@
     private val world: World,
     private val network: Network,
     private val types: List<MachineType>,
+    private val catalog: List<MachineType>,
     private val capacity: Int,
     private val makeWorker: (String, MachineType, String, Boolean) -> WorkerStand,
 ) {
@@ -40,7 +41,7 @@
     }
 
     private fun execute(op: CloudOp): CloudReply = when (op) {
-        CloudOp.Catalog -> CloudReply.CatalogIs(types)
+        CloudOp.Catalog -> CloudReply.CatalogIs(catalog)
         is CloudOp.Machines -> CloudReply.MachinesAre(list())
         is CloudOp.Rent -> rent(op)
         is CloudOp.Delete -> {
@@ -54,6 +55,7 @@
             check(before == op) { "request name ${op.request} was used again for something else" }
             return CloudReply.Rented(names)
         }
+        if (types.none { it.name == op.type }) return CloudReply.NoCapacity
         val n = minOf(op.count, capacity - machines.size)
         if (n <= 0) return CloudReply.NoCapacity
         val names = List(n) { add(types.first { it.name == op.type }, op.zone, op.spot, world.between(3000, 9000)) }
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
@@ -17,7 +17,7 @@
     seed: Long,
     val options: OperatorSettings = OperatorSettings(idleReturnS = 20.0),
     /** The workers' true lease, and what the controllers are told; they differ only in tests of the checks. */
-    private val leaseMs: Long = 8000,
+    val leaseMs: Long = 8000,
     toldLeaseS: Double = 8.0,
     /** How much more than the teams' true limits the controllers are told; 1 except in tests of the checks. */
     toldLimitFactor: Double = 1.0,
@@ -34,6 +34,8 @@
     val copiesLookNew: Boolean = false,
     /** Options of one controller that differ from the others'; only in tests of the checks. */
     private val oddOptions: OperatorSettings? = null,
+    /** Sabotage for tests of the checks: a machine type that only the controllers believe in. */
+    phantomType: MachineType? = null,
 ) {
     val world = World(seed)
     val network = Network(world)
@@ -47,7 +49,7 @@
     private val labels = List(controllers) { "abcde"[it].toString() }
     val settings = settingsOf("a", toldLeaseS, toldLimitFactor)
     val state = StateStand(world, network, settings.stateLimits)
-    val cloud = CloudStand(world, network, types, capacity) { name, type, zone, spot -> WorkerStand(this, name, type, zone, spot, leaseMs) }
+    val cloud = CloudStand(world, network, types, types + listOfNotNull(phantomType), capacity) { name, type, zone, spot -> WorkerStand(this, name, type, zone, spot, leaseMs) }
     val nodes = labels.map { NodeStand(this, it, settingsOf(it, toldLeaseS, toldLimitFactor), oddOptions?.takeIf { _ -> it == "b" } ?: options) }
     val users = Users(this)
     val rules = Rules(this)
@@ -72,9 +74,19 @@
                 reply(r)
             }
         }
+        val sentAt = world.time
         world.after(3000) { settle(DirectReply.NoResponse) }
         network.send(node, e.address) {
-            cloud.worker(e.address)?.direct(e) { r -> network.send(e.address, node) { settle(r) } }
+            fun arrive() {
+                cloud.worker(e.address)?.direct(e, sentAt) { r ->
+                    network.send(e.address, node) {
+                        val held = network.holdUp()
+                        if (held > 0) world.after(held) { settle(r) } else settle(r)
+                    }
+                }
+            }
+            val held = network.holdUp()
+            if (held > 0) world.after(held) { arrive() } else arrive()
         }
     }
 
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.rehearsal
 
 import org.chalkhollow.model.JobSpec
+import org.chalkhollow.wire.TaskReport
 
 /** The rules of the protocol, held against what the stand-ins see; [check] runs after each step. */
 class Rules(private val rehearsal: Rehearsal) {
@@ -11,6 +12,8 @@
     private val finalToldAt = HashMap<String, Long>()
     private val cancelledAt = HashMap<String, Long>()
     private val wanted = HashSet<String>()
+    private val wantedAt = HashMap<String, Long>()
+    private val waitingSince = HashMap<String, Long>()
     private val done = HashMap<String, HashSet<Int>>()
     var starts = 0
         private set
@@ -30,6 +33,8 @@
     fun started(task: WorkerStand.Task, spec: JobSpec, on: WorkerStand) {
         starts++
         begunAt.putIfAbsent(task.job, world.time)
+        val cancelled = cancelledAt[task.job]
+        if (cancelled != null && task.sentAt > cancelled) broken("ran_cancelled", "${task.name} was told to start after its user was told that it is cancelled")
         for (w in rehearsal.cloud.workers) {
             if (w !== on && w.onMachine().any { it.name == task.name }) broken("ran_twice", "${task.name} on ${on.name} and ${w.name}")
         }
@@ -42,7 +47,27 @@
     }
 
     fun completed(task: WorkerStand.Task) {
-        done.getOrPut(task.job) { HashSet() }.add(task.index)
+        val ended = done.getOrPut(task.job) { HashSet() }
+        if (ended.add(task.index) && ended.size == rehearsal.users.spec(task.job)?.tasks) rehearsal.users.ended(task.job)
+    }
+
+    /** Whether all other tasks of its job are done. */
+    fun isLast(task: WorkerStand.Task): Boolean {
+        val ended = done[task.job] ?: emptySet()
+        return task.index !in ended && ended.size + 1 == rehearsal.users.spec(task.job)?.tasks
+    }
+
+    /** Whether a user was told that [id] is over. */
+    fun isFinal(id: String): Boolean = id in finalTold
+
+    fun isDone(id: String): Boolean = finalTold[id] == "done"
+
+    /** Jobs that their users were told to be cancelled. */
+    val cancelledCount: Int get() = finalTold.values.count { it == "aborted" }
+
+    /** A job that no machine has room for was answered with [status], 0 for no answer. */
+    fun answeredUnfit(id: String, status: Int) {
+        if (status in 200..299) broken("accepted_unfit", "$id, which fits no machine, was answered with $status")
     }
 
     /** Notes that a user was told that [id] is accepted; true the first time. */
@@ -60,7 +85,8 @@
     }
 
     fun asksToCancel(id: String) {
-        wanted.add(id)
+        if (isDone(id)) return
+        if (wanted.add(id)) wantedAt[id] = world.time
     }
 
     /** A user is told [status] in answer to what it asked at [askedAt]; only what was asked after an end was told can go back. */
@@ -98,13 +124,64 @@
     private fun checkSlowly() {
         if (world.time < slowChecksAt) return
         slowChecksAt = world.time + 1000
-        if (rehearsal.nodes.count { it.leads } > 1) broken("two_lead", rehearsal.nodes.filter { it.leads }.joinToString { it.label })
         if (world.time < calmFrom) return
         for (id in acceptedIds) {
-            if (id in finalTold || id in wanted) continue
+            if (id in finalTold) continue
+            if (id in wanted) {
+                val since = maxOf(calmFrom, wantedAt[id] ?: 0)
+                if (world.time - since > UNANSWERED_MS) broken("forgotten", "$id: its cancellation was not answered since $since")
+                continue
+            }
             val since = maxOf(calmFrom, acceptedAt[id] ?: 0, answeredAt[id] ?: 0)
             if (world.time - since > UNANSWERED_MS) broken("forgotten", "$id: no answer since $since")
         }
+        checkWaiting()
+    }
+
+    /** At no moment may two controllers take themselves for entitled. */
+    private fun checkLeaders() {
+        var leading: NodeStand? = null
+        for (n in rehearsal.nodes) {
+            if (!n.leads) continue
+            if (leading != null) broken("two_lead", "${leading.label}, ${n.label}")
+            leading = n
+        }
+    }
+
+    /** Once all troubles are over, no task waits for long while a machine that fits has room and its team is under its limit. */
+    private fun checkWaiting() {
+        val placed = rehearsal.cloud.workers.filter { it.present }.flatMap { w -> w.tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.map { it to w } }
+        val byJob = placed.groupBy { it.first.job }
+        val used = HashMap<String, Double>()
+        for ((t, _) in placed) rehearsal.users.spec(t.job)?.let { used.merge(it.team, it.each.cpus, Double::plus) }
+        val usable = rehearsal.cloud.workers.filter { it.usable }
+        for (id in acceptedIds) {
+            val spec = rehearsal.users.spec(id)
+            val here = byJob[id] ?: emptyList()
+            val ended = done[id] ?: emptySet()
+            val waits = spec != null && id !in finalTold && id !in wanted &&
+                (0 until spec.tasks).any { i -> i !in ended && here.none { it.first.index == i } } && couldBegin(spec, here, used, usable)
+            if (!waits) {
+                waitingSince.remove(id)
+                continue
+            }
+            val since = waitingSince.getOrPut(id) { world.time }
+            if (world.time - since > WAITING_MS) {
+                broken("left_waiting", "$id: a machine that fits has had room since $since: $spec, ${here.size} of its tasks are on machines, ${ended.size} done")
+                waitingSince[id] = world.time
+            }
+        }
+    }
+
+    private fun couldBegin(spec: JobSpec, here: List<Pair<WorkerStand.Task, WorkerStand>>, used: Map<String, Double>, usable: List<WorkerStand>): Boolean {
+        val limit = rehearsal.limits.first { it.name == spec.team }.cpusMax
+        if ((used[spec.team] ?: 0.0) + spec.each.cpus > limit + 1e-6) return false
+        return usable.any { w ->
+            (spec.types == null || w.type.name in spec.types) && (spec.zone == null || spec.zone == w.zone) &&
+                (!w.spot || spec.spotAllowed) && w.hasRoomFor(spec) &&
+                (!spec.together || here.all { it.second.zone == w.zone }) &&
+                (!spec.spread || here.count { it.second.zone == w.zone } < (spec.tasks + 1) / 2)
+        }
     }
 
     /** To be called when a day is over: what was put off for good, by class, by team, and among a class's largest jobs. */
@@ -137,6 +214,7 @@
 
     /** After each step; the machines are looked through when something on them has changed, and for time passing. */
     fun check() {
+        checkLeaders()
         checkSlowly()
         if (!touched && world.time < fullCheckAt) return
         touched = false
@@ -158,6 +236,7 @@
 
     private companion object {
         const val UNANSWERED_MS = 75_000L
+        const val WAITING_MS = 90_000L
         const val BEGIN_MS = 240_000L
     }
 }
--- a/src/test/kotlin/org/chalkhollow/rehearsal/StateStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/StateStand.kt
@@ -29,6 +29,23 @@
         refusedUntil[node] = world.time + forMs
     }
 
+    private var lateUntil = 0L
+    private var lateShare = 0.0
+    private var slowUntil = 0L
+    private var slowMs = 0L
+
+    /** For [forMs], [share] of the commits get no answer and are carried out 2 to 12 s later, after newer ones. */
+    fun lateWrites(share: Double, forMs: Long) {
+        lateShare = share
+        lateUntil = world.time + forMs
+    }
+
+    /** For [forMs], answers take about [ms]; requests are carried out somewhere on the way. */
+    fun slow(ms: Long, forMs: Long) {
+        slowMs = ms
+        slowUntil = world.time + forMs
+    }
+
     /** Runs [op] for [node]; [reply] comes once, at the latest after the caller's time-out. */
     fun call(node: String, op: StateOp, reply: (StateReply) -> Unit) {
         var answered = false
@@ -41,12 +58,29 @@
         world.after(TIMEOUT_MS) { answer(StateReply.NoResponse) }
         network.send(node, NAME) {
             if (op is StateOp.Commit) network.copyAfter()?.let { late -> world.after(late) { if (world.time >= outageUntil) execute(op) } }
-            val down = world.time < outageUntil || world.time < (refusedUntil[node] ?: 0)
-            val result = if (down) StateReply.Unavailable else execute(op)
-            network.send(NAME, node) { answer(result) }
+            if (world.time < slowUntil) {
+                world.after(world.between(slowMs / 4, slowMs / 2)) { serve(node, op) { r -> world.after(world.between(slowMs / 4, slowMs)) { answer(r) } } }
+            } else serve(node, op, ::answer)
         }
     }
 
+    private fun serve(node: String, op: StateOp, answer: (StateReply) -> Unit) {
+        if (world.time < outageUntil || world.time < (refusedUntil[node] ?: 0)) {
+            network.send(NAME, node) { answer(StateReply.Unavailable) }
+            return
+        }
+        if (op is StateOp.Commit && world.time < lateUntil && world.chance(lateShare)) {
+            world.after(world.between(2000, 12_000)) { executeOnceUp(op) }
+            return
+        }
+        val result = execute(op)
+        network.send(NAME, node) { answer(result) }
+    }
+
+    private fun executeOnceUp(op: StateOp) {
+        if (world.time < outageUntil) world.after(outageUntil - world.time + world.between(1, 50)) { executeOnceUp(op) } else execute(op)
+    }
+
     private fun execute(op: StateOp): StateReply = when (op) {
         is StateOp.Read -> keys[op.key]?.let { StateReply.Found(Row(op.key, it.value, it.stamp)) } ?: StateReply.Missing
         is StateOp.List -> {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Troubles.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Troubles.kt
@@ -52,7 +52,7 @@
     }
 
     /** Everything in [zone] goes on among itself; what it says to the rest is held back. */
-    private fun cutZone(zone: String, forMs: Long) {
+    fun cutZone(zone: String, forMs: Long) {
         val inside = r.nodes.filterIndexed { i, _ -> i % 2 == 1 }.map { it.label } + r.cloud.workers.filter { it.zone == zone }.map { it.name }
         val outside = r.nodes.filterIndexed { i, _ -> i % 2 == 0 }.map { it.label } + r.cloud.workers.filter { it.zone != zone }.map { it.name } +
             listOf(StateStand.NAME, CloudStand.NAME, Users.USERS)
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
@@ -7,6 +7,7 @@
 import org.chalkhollow.model.Resources
 import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Malformed
 import org.chalkhollow.wire.Pack
 import org.chalkhollow.wire.UserCodec
 
@@ -82,11 +83,12 @@
         }
     }
 
-    private fun poll(id: String) {
+    private fun poll(id: String, again: Boolean = true) {
         val askedAt = world.time
         call(UserAsk.Poll(id), 2000) { a ->
             if (a?.status == 200) rehearsal.rules.answered(id)
             val status = told(id, a, askedAt)
+            if (!again) return@call
             if (status != "done" && status != "aborted") world.after(5000) { poll(id) }
             else if (world.chance(0.5)) world.after(world.between(5000, 60_000)) { poll(id) }
         }
@@ -103,6 +105,78 @@
         }
     }
 
+    /** The share of jobs that are called off at the moment at which their last task ends. */
+    var cancelAtEnd = 0.0
+
+    /** A task of a job has begun and will take [ms]; when all others are done its end is the job's. */
+    fun runs(task: WorkerStand.Task, ms: Long) {
+        if (cancelAtEnd <= 0 || !rehearsal.rules.isLast(task) || !world.chance(cancelAtEnd)) return
+        world.after(ms + world.between(-250, 400)) { cancel(task.job) }
+        if (world.chance(0.5)) world.after(ms + world.between(-250, 400)) { repeat(task.job) }
+        world.after(ms + world.between(-250, 400)) { poll(task.job) }
+    }
+
+    /** The last task of [id] has just completed. */
+    fun ended(id: String) {
+        if (cancelAtEnd <= 0 || !world.chance(cancelAtEnd)) return
+        world.after(world.between(0, 300)) { cancel(id) }
+        world.after(world.between(0, 300)) { repeat(id) }
+    }
+
+    /** Calls off [count] jobs that run and have long to go, within a fifth of a second; up to eight of their machines hang for [hangMs]. */
+    fun cancelNow(count: Int, hangMs: Long = 0): List<String> {
+        val running = rehearsal.cloud.workers.flatMap { w -> w.onMachine().filter { it.endsAt - world.time > 40_000 }.map { it.job to w } }
+        val ids = running.map { it.first }.distinct().filter { !rehearsal.rules.isFinal(it) }.take(count)
+        for (id in ids) world.after(world.between(0, 200)) { cancel(id) }
+        if (hangMs > 0) {
+            val machines = running.filter { it.first in ids }.map { it.second }.distinct().take(8)
+            for (w in machines) world.after(world.between(0, 300)) { w.hang(hangMs) }
+        }
+        return ids
+    }
+
+    /** Submits a known job once more. */
+    fun repeat(id: String) {
+        submit(specs[id] ?: return, 1)
+    }
+
+    /** For [forMs]: repeats unfinished jobs, cancels done ones, asks about any, and sends some that fit no machine or lack a field. */
+    fun odd(forMs: Long) {
+        for (at in 0L until forMs step 700) world.after(at) {
+            val known = specs.keys.sorted()
+            val id = known.getOrNull(world.random.nextInt(maxOf(1, known.size)))
+            when (world.random.nextInt(5)) {
+                0 -> submitUnfit()
+                1 -> submitLacking()
+                2 -> id?.let(::repeat)
+                3 -> known.firstOrNull { rehearsal.rules.isDone(it) && world.chance(0.2) }?.let(::cancel)
+                else -> id?.let { poll(it, again = false) }
+            }
+        }
+    }
+
+    /** A job that no machine has room for; it must never be accepted. */
+    fun submitUnfit() {
+        val spec = draw().copy(each = Resources(17.0 + world.random.nextInt(50), 0.0, 4.0), types = null, zone = null)
+        val raw = Pack.encode(UserCodec.map(spec))
+        call(UserAsk.Submit(UserCodec.job(raw), raw), 5000) { a -> rehearsal.rules.answeredUnfit(spec.id, a?.status ?: 0) }
+    }
+
+    /** A job without one of its fields; it must not pass the door. */
+    private fun submitLacking() {
+        val spec = draw()
+        val map = UserCodec.map(spec)
+        val needed = listOf("workload", "owner", "shape", "urgency", "pieces", "vcpus", "cards", "memoryGb", "expectedS", "snapshotS", "flushS")
+        val lacks = needed[world.random.nextInt(needed.size)]
+        val raw = Pack.encode(map - lacks)
+        val parsed = try {
+            UserCodec.job(raw)
+        } catch (e: Malformed) {
+            return
+        }
+        rehearsal.rules.broken("accepted_unfit", "${parsed.id} without $lacks was read as a job")
+    }
+
     fun askUnknown() {
         val id = "j-9" + world.random.nextInt(1_000_000)
         call(UserAsk.Poll(id), 2000) { a -> if (a?.status == 200 && id !in specs) rehearsal.rules.broken("invented", "$id was answered with 200") }
--- a/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
@@ -21,7 +21,10 @@
     val spot: Boolean,
     private val leaseMs: Long,
 ) {
-    class Task(val job: String, val index: Int, val attempt: Long) {
+    /** A task by the start that a controller sent at [sentAt]. */
+    class Task(val job: String, val index: Int, val attempt: Long, val sentAt: Long) {
+        /** When it will have completed, once it runs. */
+        var endsAt = 0L
         var phase = TaskReport.Phase.FETCHING
         var cause: ExitCause? = null
         val name get() = "$job/$index"
@@ -64,7 +67,19 @@
         if (rehearsal.verbose) println("${world.time} $name hangs for $forMs")
     }
 
-    private val hanging get() = world.time < hangUntil
+    private var muteUntil = 0L
+
+    /** For [forMs] no connection to any controller can be opened, while direct commands come and are answered. */
+    fun mute(forMs: Long) {
+        muteUntil = world.time + forMs
+        if (rehearsal.verbose) println("${world.time} $name is mute for $forMs")
+    }
+
+    /** Up, awake, well, not to be taken, and answered lately: a machine that work can be given to. */
+    val usable: Boolean
+        get() = present && !hanging && !sick && noticeAt == 0L && world.time >= muteUntil && world.time - leaseFrom < rehearsal.reportMs * 2 + 1000
+
+    val hanging: Boolean get() = world.time < hangUntil
 
     private fun tick() {
         if (dead) return
@@ -126,6 +141,17 @@
         }
     }
 
+    /** Holds the reports of now back and delivers them [afterMs] later to whoever leads then, though others came before. */
+    fun holdReport(afterMs: Long) {
+        val body = wire(snapshot())
+        world.after(afterMs) { (rehearsal.nodes.firstOrNull { it.leads } ?: rehearsal.nodes.first()).report(body) {} }
+    }
+
+    /** Sabotage for tests of the checks: takes a start for [job] as if a controller had sent it now. */
+    fun startUnasked(job: String) {
+        execute(Command.Start(job, 0, 1_000_000L + world.time), world.time)
+    }
+
     /** Delivers its last report once more, to every controller. */
     fun repeatLastReport() {
         val body = wire(lastReport ?: return)
@@ -136,12 +162,13 @@
 
     /** Delivers the last direct start once more, though it was carried out. */
     fun repeatLastStart() {
-        direct(lastStart ?: return) {}
+        direct(lastStart ?: return, 0) {}
     }
 
     private var lastStart: Effect.Direct? = null
 
     private fun report() {
+        if (world.time < muteUntil) return nextNode()
         val report = snapshot()
         lastReport = report
         copyLater(report)
@@ -160,8 +187,9 @@
         world.after(4000) { settle(::nextNode) }
         rehearsal.network.send(name, node.label) {
             val heard = node.report(wire(report)) { answer ->
+                val answeredAt = world.time
                 rehearsal.network.send(node.label, name) {
-                    if (!hanging) settle { answered(answer, report, sentAt) }
+                    if (!hanging) settle { answered(answer, report, sentAt, answeredAt) }
                 }
             }
             if (!heard) rehearsal.network.send(node.label, name) { settle(::nextNode) }
@@ -173,7 +201,7 @@
         reportDueAt = world.time + 1000
     }
 
-    private fun answered(answer: Effect.Answer, report: WorkerReport, sentAt: Long) {
+    private fun answered(answer: Effect.Answer, report: WorkerReport, sentAt: Long, answeredAt: Long) {
         val body = answer.body?.let(Pack::decodeMap)
         if (answer.status == 421) {
             val to = rehearsal.nodes.indexOfFirst { it.label == body?.textOrNull("overseer") }
@@ -190,7 +218,7 @@
             changed()
         }
         leaseFrom = maxOf(leaseFrom, sentAt)
-        for (order in body.maps("orders")) execute(decode(order))
+        for (order in body.maps("orders")) execute(decode(order), answeredAt)
     }
 
     private fun decode(f: Fields): Command {
@@ -204,39 +232,52 @@
         }
     }
 
-    /** A direct command arrives, perhaps late. */
-    fun direct(e: Effect.Direct, reply: (DirectReply) -> Unit) {
+    /** A direct command that a controller sent at [sentAt] arrives, perhaps late. */
+    fun direct(e: Effect.Direct, sentAt: Long, reply: (DirectReply) -> Unit) {
         if (!present) return
         if (e.commands.any { it is Command.Start }) lastStart = e
         if (e !in repeated) rehearsal.network.copyAfter()?.let { late ->
             repeated.add(e)
-            world.after(late) { direct(e) {} }
+            world.after(late) { direct(e, sentAt) {} }
         }
         if (hanging) {
-            world.after(hangUntil - world.time + 1) { direct(e, reply) }
+            world.after(hangUntil - world.time + 1) { direct(e, sentAt, reply) }
             return
         }
         expire()
         if (e.session != session || e.token < token) return reply(DirectReply.Refused(snapshot()))
         token = e.token
-        e.commands.forEach(::execute)
+        e.commands.forEach { execute(it, sentAt) }
         reply(DirectReply.Executed(snapshot()))
     }
 
-    private fun execute(c: Command) {
+    private fun execute(c: Command, sentAt: Long) {
         if (rehearsal.verbose) println("${world.time} $name $c token $token session $session")
         val key = "${c.jobId}/${c.index}#${c.attempt}"
         val known = tasks[key]
         when (c) {
-            is Command.Start -> if (known == null) start(key, c)
-            is Command.Stop -> if (known != null && known.phase != TaskReport.Phase.EXITED) exit(known, ExitCause.HALTED)
+            is Command.Start -> if (known == null) start(key, c, sentAt)
+            is Command.Stop -> if (known != null && known.phase != TaskReport.Phase.EXITED) stop(known, c.graceS, key)
             is Command.Forget -> if (known?.phase == TaskReport.Phase.EXITED) tasks.remove(key)
         }
         changed()
     }
 
-    private fun start(key: String, c: Command.Start) {
-        val task = Task(c.jobId, c.index, c.attempt)
+    /** A running task that has checkpoints saves first if it is given the time; one that saves is ended by a stop without any. */
+    private fun stop(task: Task, graceS: Double, key: String) {
+        val spec = rehearsal.users.spec(task.job)
+        when {
+            task.phase == TaskReport.Phase.SAVING -> if (graceS <= 0.0) exit(task, ExitCause.HALTED)
+            task.phase == TaskReport.Phase.RUNNING && spec != null && spec.checkpointS > 0 && graceS >= spec.saveS -> {
+                task.phase = TaskReport.Phase.SAVING
+                at(task, (spec.saveS * 1000).toLong(), key) { exit(task, ExitCause.HALTED) }
+            }
+            else -> exit(task, ExitCause.HALTED)
+        }
+    }
+
+    private fun start(key: String, c: Command.Start, sentAt: Long) {
+        val task = Task(c.jobId, c.index, c.attempt, sentAt)
         val same = tasks.values.any { it.name == task.name && it.phase != TaskReport.Phase.EXITED }
         val spec = rehearsal.users.spec(c.jobId)
         tasks[key] = task
@@ -248,6 +289,11 @@
         }
     }
 
+    /** What fetching, running and saving tasks leave of this machine. */
+    fun hasRoomFor(spec: JobSpec): Boolean = usedCpus() + spec.each.cpus <= type.room.cpus + 1e-6 &&
+        tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.sumOf { rehearsal.users.spec(it.job)?.each?.memoryGb ?: 0.0 } +
+        spec.each.memoryGb <= type.room.memoryGb + 1e-6
+
     private fun usedCpus(): Double =
         tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.sumOf { rehearsal.users.spec(it.job)?.each?.cpus ?: 0.0 }
 
@@ -258,7 +304,10 @@
         changed()
         if (task.name in completed) return exit(task, ExitCause.DONE)
         val ms = (spec.expectedS * 1000 * (0.5 + world.random.nextDouble())).toLong()
+        task.endsAt = world.time + ms
+        rehearsal.users.runs(task, ms)
         at(task, if (sick) 300 else ms, key) {
+            if (task.phase != TaskReport.Phase.RUNNING) return@at // it was told to save and ends by that
             if (!sick) {
                 completed.add(task.name)
                 rehearsal.rules.completed(task)
--- a/src/test/kotlin/org/chalkhollow/rehearsal/World.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/World.kt
@@ -64,6 +64,12 @@
     var copies = 0.0
     var copiesMs = 40_000L
 
+    /** How often a direct command, or its answer, is held up for seconds and then goes on its way. */
+    var held = 0.0
+
+    /** How long a direct command or its answer is held up now; mostly not at all. */
+    fun holdUp(): Long = if (held > 0 && world.chance(held)) world.between(2000, 9000) else 0
+
     /** Whether a message is to be delivered once more, and when. */
     fun copyAfter(): Long? = if (copies > 0 && world.chance(copies)) world.between(1, copiesMs) else null
 
