--- a/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
@@ -9,6 +9,52 @@
 
 /** Troubles with the state service and among the controllers that meet others; every rule is checked after each step. */
 class MeetingsTest {
+    /**
+     * The state service refuses the leader alone, and jobs are called off around that moment; then it is out for everybody,
+     * for longer than a cancelled task may live, [offsetMs] after another controller leads.
+     */
+    private fun refusedThenOut(seed: Long, leaseMs: Long, slowMs: Long, offsetMs: Long?): Long {
+        val s = Stage(seed, leaseMs)
+        s.begin(jobs = 16, long = 6, overMs = 60_000)
+        s.world.runUntil(START_MS)
+        val first = s.leader()
+        s.long.take(3).forEach { id -> s.at(START_MS + s.world.between(0, 300)) { s.cancel(id) } }
+        if (slowMs > 0) s.r.state.slow(slowMs, 15_000)
+        s.world.runUntil(START_MS + 300)
+        s.r.state.refuse(checkNotNull(first).label, 12_000)
+        var handover = 0L
+        fun watch() {
+            val now = s.leader()
+            if (now != null && now !== first) handover = s.world.time else s.world.after(10) { watch() }
+        }
+        watch()
+        s.long.drop(3).forEachIndexed { i, id -> s.at(START_MS + 600L + 600L * i) { s.cancel(id) } }
+        if (offsetMs == null) {
+            s.world.runUntil(START_MS + 15_000)
+            return handover
+        }
+        s.at(offsetMs) { s.r.state.outage(40_000) }
+        s.world.runUntil(offsetMs + 75_000)
+        s.holds()
+        return handover
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,8000,0", "2,16000,0", "3,22000,0", "4,22000,300")
+    fun `jobs are called off while a leader is refused alone, and an outage follows the handover`(seed: Long, leaseMs: Long, slowMs: Long) {
+        val handover = refusedThenOut(seed, leaseMs, slowMs, null)
+        assertTrue(handover > 0, "nobody took over")
+        val broken = ArrayList<String>()
+        for (offset in (-500L..1500L step 100) + (0L..100L step 10)) {
+            try {
+                refusedThenOut(seed, leaseMs, slowMs, handover + offset)
+            } catch (e: AssertionError) {
+                broken.add("$offset ms after the handover: ${e.message?.take(160)}")
+            }
+        }
+        assertTrue(broken.isEmpty(), broken.joinToString("\n"))
+    }
+
     @ParameterizedTest
     @CsvSource("1,8000", "2,16000", "3,22000", "4,22000")
     fun `jobs are called off just before a leader is refused alone, and an outage follows the handover`(seed: Long, leaseMs: Long) {
