A held up start of a cancelled job no longer costs the lead in an outage

The leader gave up the lead to raise its generation, which nobody can in an outage, so every machine lost its lease. Now, when nothing can be written or the generation was raised just before, only the machine concerned is left to its lease.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -236,7 +236,7 @@
             return
         }
         val m = fleet.observe(report)
-        if (m == null) {
+        if (m == null || m.shunned) {
             desk.answer(call, 503)
             return
         }
@@ -322,18 +322,34 @@
     private fun raiseGenerationIfNeeded() {
         val t = desk.steady
         if (dispatch.exhausted) return leadership.depose("attempt numbers are used up")
-        if (t - generationRaisedAt < RAISE_MS) return
+        if (log.stalled() || t - generationRaisedAt < RAISE_MS) return shunStuck(t)
         val stuck = fleet.machines.any { m ->
-            m.state == Machine.State.UP && m.attempts.any {
-                it.directPending && t - it.since > STUCK_MS &&
-                    (it.phase == Attempt.Phase.SENT && it.job.cancelled || it.phase == Attempt.Phase.EXITED && it.forgettable)
-            } || m.attempts.size > MOST_KEPT && m.attempts.count { it.phase == Attempt.Phase.EXITED && it.forgettable } > MOST_KEPT
+            stuck(m, t) || m.attempts.size > MOST_KEPT && m.attempts.count { it.phase == Attempt.Phase.EXITED && it.forgettable } > MOST_KEPT
         }
         if (!stuck) return
         generationRaisedAt = t
         leadership.depose("raising the generation to settle direct starts without an answer")
     }
 
+    private fun stuck(m: Machine, t: Long): Boolean = m.state == Machine.State.UP && m.attempts.any {
+        it.directPending && t - it.since > STUCK_MS &&
+            (it.phase == Attempt.Phase.SENT && it.job.cancelled || it.phase == Attempt.Phase.EXITED && it.forgettable)
+    }
+
+    /**
+     * No generation can be raised while nothing can be written, and giving up the lead then would cost every machine its lease;
+     * an earlier version did. Nor is one raised again and again. A cancelled task's start that may still be carried out ends with the session of its machine
+     * alone, so that one is answered no more.
+     */
+    private fun shunStuck(t: Long) {
+        for (m in fleet.machines) {
+            if (m.shunned || m.attempts.none { it.directPending && t - it.since > STUCK_MS && it.phase == Attempt.Phase.SENT && it.job.cancelled }) continue
+            if (m.state != Machine.State.UP) continue
+            desk.info("${m.name} may yet begin what was cancelled, and is left to its lease")
+            m.shunned = true
+        }
+    }
+
     private companion object {
         const val TICK_MS = 100L
         const val FOLLOWER_TICK_MS = 150L
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -113,6 +113,7 @@
         if (freshSession) {
             if (m.session > 0) onGone(m)
             m.session = report.session
+            m.shunned = false
             m.seq = -1
             m.beatSeq = -1
             m.reconciled = null
@@ -152,7 +153,7 @@
 
     /** Machines that take new tasks: up, heard from at our token, neither draining nor about to be taken. */
     fun placeable(): List<Machine> = byName.values.filter { m ->
-        m.state == Machine.State.UP && m.hears && !m.draining && m.noticeAt == Machine.NEVER &&
+        m.state == Machine.State.UP && m.hears && !m.draining && !m.shunned && m.noticeAt == Machine.NEVER &&
             !m.retiring && desk.steady >= m.fullUntil && desk.steady - m.reportedAt < leaseMs / 2 && types.getOrNull(m.type) != null
     }
 
--- a/src/main/kotlin/org/chalkhollow/core/Machine.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Machine.kt
@@ -22,6 +22,9 @@
     var provedAt = NEVER
     var askedAt = NEVER
 
+    /** Its reports are not answered, so that its session ends: only then is it certain what it will not do. */
+    var shunned = false
+
     /** Since when it reports without hearing us; [NEVER] while it does hear or says nothing. */
     var deafSince = NEVER
 
--- a/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
@@ -150,6 +150,31 @@
         s.play(START_MS + 50_000)
     }
 
+    // The leader gave up the lead to raise its generation, which it cannot in an outage: every machine lost its lease.
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `a held up start of a cancelled job meets an outage, and costs its machine's lease alone`(seed: Long) {
+        val s = Stage(seed, 22_000)
+        s.r.network.loss = 0.0
+        s.r.network.late = 0.0
+        s.begin(jobs = 0, long = 6)
+        s.world.runUntil(START_MS)
+        val before = s.r.rules.starts
+        assertTrue(before > 0 && s.busy().size > 1, "the long jobs run on ${s.busy().size} machines")
+        s.r.network.heldMs = 33_000L..33_000L
+        s.r.network.held = 1.0
+        val id = s.r.users.submit { s.plain(it, "red").copy(tasks = 1) }
+        s.at(START_MS + 1200) { s.cancel(id) }
+        s.at(START_MS + 2200) { s.r.network.held = 0.0 }
+        s.at(START_MS + 2500) { s.r.state.outage(40_000) }
+        s.at(START_MS + 32_500) { s.r.cloud.workers.forEach { it.mute(5000) } } // so that what begins is not stopped at once
+        s.at(START_MS + 42_000) { assertTrue(s.leader() != null, "nobody leads in the outage") }
+        s.world.runUntil(START_MS + 70_000)
+        s.holds()
+        val again = s.r.rules.starts - before
+        assertTrue(again <= 9, "$again of $before tasks began again")
+    }
+
     @ParameterizedTest
     @CsvSource("1,8000", "2,16000", "3,22000")
     fun `all controllers are away for longer than the lease`(seed: Long, leaseMs: Long) {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/World.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/World.kt
@@ -68,7 +68,8 @@
     var held = 0.0
 
     /** How long a direct command or its answer is held up now; mostly not at all. */
-    fun holdUp(): Long = if (held > 0 && world.chance(held)) world.between(2000, 9000) else 0
+    fun holdUp(): Long = if (held > 0 && world.chance(held)) world.between(heldMs.first, heldMs.last) else 0
+    var heldMs = 2000L..9000L
 
     /** Whether a message is to be delivered once more, and when. */
     fun copyAfter(): Long? = if (copies > 0 && world.chance(copies)) world.between(1, copiesMs) else null
