--- a/src/main/kotlin/org/chalkhollow/settings/PlatformSettings.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/PlatformSettings.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.doubleOrNull
@@ -24,7 +25,12 @@
 data class Peer(val label: String, val address: Address)
 
 /** Budget and limits of the state service. */
-data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int) {
+    /** The smaller of each. */
+    fun within(other: StateLimits) = StateLimits(
+        minOf(rps, other.rps), minOf(writeRps, other.writeRps), minOf(valueBytes, other.valueBytes), minOf(txnOps, other.txnOps),
+    )
+}
 
 /** An aim on how soon a class of jobs should start or finish. */
 data class Objective(val kind: String, val workload: String?, val withinS: Double?, val share: Double, val times: Double = 1.0)
@@ -43,11 +49,14 @@
     val reportS: Double,
     val leaseS: Double,
     val cancelS: Double,
+    /** What this controller keeps within: the smaller of the limits that hold now and those that will. */
     val stateLimits: StateLimits,
     val cloudRps: Double,
     val listLagS: Double,
     val maxConnections: Int,
     val skewMs: Double,
+    /** What the state service takes now, and what versions before `next` keep within. */
+    val stateLimitsNow: StateLimits = stateLimits,
 ) {
     companion object {
         /** Reads and checks the settings file at [path]. */
@@ -75,6 +84,7 @@
             val workers = facts.at("workers")
             val state = facts.at("state")
             val cloud = facts.at("cloud")
+            val limits = limits(state, null)
             val settings = PlatformSettings(
                 label = root.at("label").text(),
                 location = root.at("location").text(),
@@ -88,12 +98,8 @@
                 reportS = workers.at("report_s").number(0.05, 600.0),
                 leaseS = workers.at("lease_s").number(0.5, 3600.0),
                 cancelS = workers.at("cancel_s").number(1.0, 86400.0),
-                stateLimits = StateLimits(
-                    rps = state.at("rps").number(1.0, 1e6),
-                    writeRps = state.at("write_rps").number(1.0, 1e6),
-                    valueBytes = (state.at("value_kb").number(1.0, 1e4) * 1024).toInt(),
-                    txnOps = state.at("txn_ops").number(3.0, 1e4).toInt(),
-                ),
+                stateLimits = state.optional("next")?.let { limits(it, limits).within(limits) } ?: limits,
+                stateLimitsNow = limits,
                 cloudRps = cloud.at("rps").number(0.05, 1e5),
                 listLagS = cloud.at("list_lag_s").number(0.0, 3600.0),
                 maxConnections = facts.optional("machine_limits")?.optional("max_connections")
@@ -105,6 +111,18 @@
             return settings
         }
 
+        /** Limits of the state service; what is not named in [n] is as in [others], without which all must be. */
+        private fun limits(n: Node, others: StateLimits?): StateLimits {
+            fun number(name: String, least: Double, most: Double, other: Double?): Double =
+                if (other == null) n.at(name).number(least, most) else n.optional(name)?.number(least, most) ?: other
+            return StateLimits(
+                rps = number("rps", 1.0, 1e6, others?.rps),
+                writeRps = number("write_rps", 1.0, 1e6, others?.writeRps),
+                valueBytes = (number("value_kb", 1.0, 1e4, others?.valueBytes?.let { it / 1024.0 }) * 1024).toInt(),
+                txnOps = number("txn_ops", 3.0, 1e4, others?.txnOps?.toDouble()).toInt(),
+            )
+        }
+
         private fun team(n: Node): Team {
             val team = Team(
                 name = n.at("name").text(),
@@ -133,7 +151,7 @@
 
     fun optional(name: String): Node? {
         val map = element as? JsonObject ?: fail("is not an object")
-        val child = map[name] ?: return null
+        val child = map[name]?.takeIf { it !is JsonNull } ?: return null
         return Node(child, join(name), source)
     }
 
--- a/src/test/kotlin/org/chalkhollow/settings/SettingsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/settings/SettingsTest.kt
@@ -1,9 +1,15 @@
 package org.chalkhollow.settings
 
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.parse
+import org.chalkhollow.Chalkhollow
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Files
+import java.nio.file.Path
 
 class SettingsTest {
     private val good = """
@@ -33,6 +39,41 @@
         assertTrue('\n' !in complaint(good.replace("\"rps\":80", "\"rps\":\"many\"")))
     }
 
+    private fun next(json: String) = good.replace("\"txn_ops\":12", "\"txn_ops\":12,\"next\":$json")
+
+    @Test
+    fun `the limits kept within are the smaller of those of now and of next`() {
+        val now = StateLimits(80.0, 20.0, 8192, 12)
+        fun limits(json: String) = PlatformSettings.parse(next(json), "s.json").also { assertEquals(now, it.stateLimitsNow) }.stateLimits
+        assertEquals(StateLimits(40.0, 10.0, 4096, 6), limits("""{"rps":40,"write_rps":10,"value_kb":4,"txn_ops":6}"""))
+        assertEquals(now.copy(writeRps = 10.0), limits("""{"write_rps":10,"value_kb":16,"rps":81,"txn_ops":100,"colour":"blue"}"""))
+        assertEquals(now.copy(valueBytes = 1536), limits("""{"value_kb":1.5}"""))
+        for (none in listOf("{}", "null", """{"rps":null}""")) assertEquals(now, limits(none))
+        assertEquals(now, PlatformSettings.parse(good, "s.json").stateLimits)
+    }
+
+    @Test
+    fun `nonsense in next is complained of in one line that names the field`() {
+        for ((json, field) in listOf(
+            "7" to "facts.state.next", "[]" to "facts.state.next", "\"soon\"" to "facts.state.next",
+            """{"rps":"x"}""" to "facts.state.next.rps", """{"write_rps":0}""" to "facts.state.next.write_rps",
+            """{"value_kb":-4}""" to "facts.state.next.value_kb", """{"txn_ops":{}}""" to "facts.state.next.txn_ops",
+            """{"txn_ops":2}""" to "facts.state.next.txn_ops",
+        )) {
+            val line = complaint(next(json))
+            assertTrue("field $field " in line, line)
+            assertTrue('\n' !in line)
+        }
+    }
+
+    @Test
+    fun `the limits of next are checked by --check also`(@TempDir folder: Path) {
+        val file = Files.writeString(folder.resolve("s.json"), next("""{"value_kb":"small"}"""))
+        val error = assertThrows(CliktError::class.java) { Chalkhollow().parse(listOf("--config", "$file", "--check")) }
+        assertTrue("field facts.state.next.value_kb is not a number" in error.message.orEmpty(), error.message)
+        assertEquals(2, error.statusCode)
+    }
+
     @Test
     fun `operators' settings are protobuf text, and an unknown field is an error with its place`() {
         assertEquals(OperatorSettings(), OperatorText.parse("# nothing\n", "o"))
