--- a/src/main/kotlin/org/chalkhollow/core/Aims.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Aims.kt
@@ -24,17 +24,17 @@
     }
 
     /**
-     * Whether users of this class wait for its tasks to start: sooner than a machine can be had for them, so that room has to
+     * Whether users of this class wait for its tasks to start, as they do for a service's replicas: sooner than a machine can be had for them, so that room has to
      * be there already.
      */
-    fun startsCount(job: OpenJob): Boolean = (starts[job.spec.workload]?.firstOrNull() ?: return false) < leastBootMs()
+    fun startsCount(job: OpenJob): Boolean = job.service || (starts[job.spec.workload]?.firstOrNull() ?: return false) < leastBootMs()
 
     /**
-     * Whether tasks of such a class that start now are still in time for its last aim on starting. Ending with the first of
+     * Whether tasks of such a class, or replicas of a service, that start now are still in time for its last aim on starting. Ending with the first of
      * them put what had just come before what had waited for seconds, and half a flood of urgent work was late that need not be.
      */
     fun startable(job: OpenJob, wall: Long): Boolean =
-        startsCount(job) && wall < job.acceptedWall + (starts[job.spec.workload]?.last() ?: return false)
+        job.service || startsCount(job) && wall < job.acceptedWall + (starts[job.spec.workload]?.last() ?: return false)
 
     /** Whether most of the time that the class's tasks may wait for their start is over, and not all of it. */
     fun mustStart(job: OpenJob, wall: Long): Boolean {
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -147,7 +147,7 @@
         for (a in m.attempts) {
             if (!a.onMachine || a.stopping) continue
             val saves = a.job.spec.checkpointS > 0 && a.phase == Attempt.Phase.RUNNING
-            if (saves || !a.inherited && a.leastLeftS(desk.steady) > leftS) a.stopping = true
+            if (saves || a.job.service || !a.inherited && a.leastLeftS(desk.steady) > leftS) a.stopping = true
         }
     }
 
@@ -335,7 +335,8 @@
         if (t - waitedAt < CALM_MS || t - retiredAt < RETIRE_EVERY_MS) return
         val dear = placeable().filter { m ->
             val type = types.getOrNull(m.type) ?: return@filter false
-            m.name !in base.names && priceOf(m.type, m.spot) > minOf(type.price, type.spotPrice)
+            // A replica never ends, so a machine that has one would never run dry.
+            m.name !in base.names && m.attempts.none { it.job.service } && priceOf(m.type, m.spot) > minOf(type.price, type.spotPrice)
         }.map { it to it.room(types).cpus }.sortedByDescending { it.second }
         var free = placeable().sumOf { it.room(types).cpus }
         for ((m, room) in dear.take(maxOf(1, dear.size / RETIRED_OF))) {
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -73,6 +73,9 @@
     var ranS = 0.0
 
     val gang: Boolean get() = spec.shape == Shape.GANG
+
+    /** Its replicas run until it is cancelled; none is ever done. */
+    val service: Boolean get() = spec.shape == Shape.SERVICE
     val complete: Boolean get() = doneCount == spec.tasks
     val cancelled: Boolean get() = entry.state == JobState.CANCELLED
     val placeable: Boolean get() = !cancelling && !complete && entry.state == JobState.OPEN && !ready.isEmpty
@@ -148,6 +151,7 @@
 
     /** How many more seconds it takes at the least, as far as its job's other tasks or its owner's estimate tell. */
     fun leastLeftS(t: Long): Double {
+        if (job.service) return Double.MAX_VALUE
         val ran = if (phase == Phase.RUNNING) (t - since) / 1000.0 else 0.0
         return (if (job.runs > 0) job.ranS / job.runs else job.spec.expectedS) * LEAST_OF_EXPECTED - ran
     }
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -26,6 +26,7 @@
 
     var unplaced: List<Unplaced> = emptyList()
         private set
+    private val replicas = Replicas(jobs, fleet)
 
     /** Jobs with ready tasks, most urgent first. */
     fun order(): List<OpenJob> {
@@ -106,6 +107,7 @@
         for (job in jobs.open) {
             if (job.entry.id <= urgentSeen || !aims.startsCount(job)) continue
             newest = maxOf(newest, job.entry.id)
+            if (job.service) continue // room is kept for those by machine, see [Replicas]
             urgentSizes.addLast(job.each.cpus * job.spec.tasks)
             if (urgentSizes.size > SIZES_KEPT) urgentSizes.removeFirst()
         }
@@ -172,8 +174,13 @@
         private val given = HashMap<Int, Double>() // by team
         private val givenCards = HashMap<Int, Double>()
         private val taken = HashMap<OpenJob, Int>()
+        private var kept = false
 
         fun serve(job: OpenJob, heldOnly: Boolean) {
+            if (!job.service && !goesFirst(job) && !kept) {
+                kept = true
+                free -= replicas.keepRoom(machines)
+            }
             val ready = job.ready.cardinality() - (taken[job] ?: 0)
             val wanted = minOf(ready, headroom(job, given, givenCards))
             var want = wanted
@@ -295,6 +302,10 @@
             val urgent = aims.startable(u.job, desk.now.wall) && u.job.spec.priority <= Priority.HIGH
             val owed = withinGuarantee(u.job) && aims.freshGuarantee(u.job, desk.now.wall)
             if (!urgent && !owed || u.job.gang) continue
+            if (u.job.service) {
+                preemptFor(u, placeable.filter { m -> m.attempts.any { it.stopping || yieldsTo(it, u.job) } }, urgent, owed)
+                continue
+            }
             val some = places ?: placeable.filter { m -> m.attempts.any { it.stopping || stoppable(it) } }.also { places = it }
             if (some.isEmpty()) return
             preemptFor(u, some, urgent, owed)
@@ -303,11 +314,13 @@
 
     private fun preemptFor(u: Unplaced, candidates: List<Machine>, urgent: Boolean, owed: Boolean) {
         val job = u.job
-        val places = candidates.filter { !fetches(job, it) && allowed(job, it) && it.spot <= job.spec.spotAllowed }
+        val zones = ZoneRule(job, fleet)
+        val places = candidates.filter { (job.service || !fetches(job, it)) && allowed(job, it) && zones.roomIn(it.zone) > 0 }
         var need = u.count - places.sumOf { job.each.countIn(roomAfterStops(it)) }
         if (need <= 0) return
         val victims = places.associateWith { m -> m.attempts.filter { mayStop(it, job, urgent, owed) }.sortedWith(cheapestFirst) }
-        for ((m, some) in victims.entries.filter { it.value.isNotEmpty() }.sortedWith(compareBy(cheapestFirst) { it.value.first() })) {
+        val heldFirst = compareBy<Map.Entry<Machine, List<Attempt>>> { if (fetches(job, it.key)) 1 else 0 }
+        for ((m, some) in victims.entries.filter { it.value.isNotEmpty() }.sortedWith(heldFirst.thenBy(cheapestFirst) { it.value.first() })) {
             if (need <= 0) return
             need -= stopOn(m, some, job, need)
         }
@@ -352,7 +365,12 @@
     private fun stoppable(a: Attempt): Boolean = a.onMachine && !a.stopping && !a.owed && a.job.spec.shape == Shape.ARRAY &&
         (a.job.spec.checkpointS > 0 || desk.steady - a.placedAt < YOUNG_MS) && !withinGuarantee(a.job)
 
+    /** For a replica any task of lower priority gives way, those that lose least first: who asks for a service waits for it all along. */
+    private fun yieldsTo(a: Attempt, by: OpenJob): Boolean =
+        a.onMachine && !a.stopping && !a.job.service && !a.job.gang && a.job.spec.priority > by.spec.priority
+
     private fun mayStop(a: Attempt, by: OpenJob, urgent: Boolean, owed: Boolean): Boolean {
+        if (by.service && yieldsTo(a, by)) return true
         if (!stoppable(a)) return false
         val lower = urgent && a.job.spec.priority > by.spec.priority
         val borrowed = owed && a.job.team != by.team && a.job.spec.priority >= by.spec.priority && quotas.beyond(a.job.team)
@@ -394,9 +412,12 @@
         var left = want
         var next = job.ready.nextSetBit(0)
         repeat(skip) { next = job.ready.nextSetBit(next + 1) }
-        for (m in ordered) {
+        // Replicas of one service are spread over machines first, and share machines only for want of others.
+        for (k in 0 until if (job.service) ordered.size * 2 else ordered.size) {
             if (left == 0) break
-            val n = minOf(left, job.each.countIn(m.left), zones.roomIn(m.zone))
+            val m = ordered[k % ordered.size]
+            var n = minOf(left, job.each.countIn(m.left), zones.roomIn(m.zone))
+            if (job.service && k < ordered.size) n = minOf(n, replicas.mostOn(job) - replicas.on(m, job))
             if (n <= 0) continue
             val tasks = IntArray(n)
             for (i in 0 until n) {
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -1,7 +1,6 @@
 package org.chalkhollow.core
 
 import org.chalkhollow.model.JobState
-import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.Command
 import org.chalkhollow.wire.ExitCause
 import org.chalkhollow.wire.TaskReport
@@ -161,13 +160,13 @@
     private fun exited(a: Attempt, cause: ExitCause) {
         release(a)
         val job = a.job
-        if (cause == ExitCause.DONE && a.phase == Attempt.Phase.RUNNING && !a.inherited) {
+        if (cause == ExitCause.DONE && a.phase == Attempt.Phase.RUNNING && !a.inherited && !job.service) {
             job.runs++
             job.ranS += (desk.steady - a.since) / 1000.0
         }
         a.phase = Attempt.Phase.EXITED
-        a.completed = cause == ExitCause.DONE
-        if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN && job.spec.shape != Shape.SERVICE) {
+        a.completed = cause == ExitCause.DONE && !job.service
+        if (cause == ExitCause.DONE && job.entry.state == JobState.OPEN && !job.service) {
             a.machine.failedJobs.clear()
             if (!job.done.get(a.index)) {
                 job.failures = 0
@@ -179,12 +178,21 @@
         forgettable(a)
         when (cause) {
             ExitCause.ERROR -> failed(a)
+            ExitCause.DONE -> if (job.service && job.entry.state == JobState.OPEN) ended(a)
             ExitCause.FULL -> a.machine.fullUntil = desk.steady + FULL_MS
             ExitCause.BUSY, ExitCause.NO_SUCH -> job.notBefore = maxOf(job.notBefore, desk.steady + RETRY_MS)
             else -> Unit
         }
     }
 
+    /** A replica has ended by itself: it runs again, elsewhere, and later and later if that happens again and again. */
+    private fun ended(a: Attempt) {
+        val job = a.job
+        job.failedOn(a.machine.id, desk.steady)
+        job.failures = if (desk.steady - a.placedAt > LASTED_MS) 0 else job.failures + 1
+        if (job.failures > job.spec.tasks) job.notBefore = desk.steady + (FAILED_MS shl minOf(job.failures / job.spec.tasks, 5))
+    }
+
     private fun failed(a: Attempt) {
         val job = a.job
         a.machine.failedJobs.add(job.entry.id)
@@ -276,6 +284,7 @@
         const val FULL_MS = 3000L
         const val RETRY_MS = 2000L
         const val FAILED_MS = 1000L
+        const val LASTED_MS = 15_000L
         const val MOST_COMMANDS = 400
         const val GRACE_S = 1.0
     }
