--- a/src/test/kotlin/org/chalkhollow/MeetingsOfMachinesTest.kt
+++ b/src/test/kotlin/org/chalkhollow/MeetingsOfMachinesTest.kt
@@ -5,6 +5,7 @@
 import org.chalkhollow.rehearsal.Stage
 import org.chalkhollow.rehearsal.Stage.Companion.START_MS
 import org.chalkhollow.rehearsal.WorkerStand
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
@@ -93,7 +94,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource("1,8000", "2,16000", "3,22000", "4,16000")
+    @CsvSource("1,8000", "2,16000", "3,22000", "4,16000", "418,22000")
     fun `commands and answers are held up for seconds, and machines hang and go on`(seed: Long, leaseMs: Long) {
         val s = Stage(seed, leaseMs)
         s.begin()
@@ -163,7 +164,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource("1,8000", "2,16000", "3,22000", "4,8000")
+    @CsvSource("1,8000", "2,16000", "3,22000", "4,8000", "322,22000")
     fun `old reports come after newer ones, also of earlier sessions and attempts`(seed: Long, leaseMs: Long) {
         val s = Stage(seed, leaseMs)
         s.r.network.copies = 0.05
@@ -178,4 +179,33 @@
         s.at(START_MS + 30_000) { s.busy().take(2).forEach { it.reboot() } }
         s.play(START_MS + 40_000 + leaseMs * 2 + 45_000)
     }
+
+    /** A new leader gets a report of a machine's earlier session, then an old one of this session, then the machine's own. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `old reports of two sessions reach a new leader before the machine's own`(seed: Long) {
+        val s = Stage(seed)
+        s.r.network.loss = 0.0
+        s.r.network.late = 0.0
+        s.begin(jobs = 0, long = 6)
+        s.world.runUntil(15_000)
+        val machine = s.busy().maxBy { it.onMachine().size }
+        val first = machine.keepReport()
+        machine.reboot()
+        val second = machine.keepReport()
+        s.world.runUntil(START_MS)
+        assertTrue(machine.onMachine().isNotEmpty(), "nothing began there again")
+        cut(s, machine, 3500, holds = false)
+        s.leader()?.crash()
+        fun onceLed() {
+            val leader = s.leader() ?: return s.world.after(20) { onceLed() }
+            s.world.after(250) {
+                first(leader)
+                second(leader)
+            }
+        }
+        s.world.after(500) { onceLed() }
+        s.world.runUntil(START_MS + 30_000)
+        s.holds()
+    }
 }
--- a/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/MeetingsTest.kt
@@ -56,7 +56,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource("1,8000", "2,16000", "3,22000", "4,22000")
+    @CsvSource("1,8000", "2,16000", "3,22000", "4,22000", "140,8000")
     fun `jobs are called off just before a leader is refused alone, and an outage follows the handover`(seed: Long, leaseMs: Long) {
         val broken = ArrayList<String>()
         for (offset in 0L..5000L step 50) {
@@ -91,7 +91,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource("1,300", "2,900", "3,2000", "4,4000")
+    @CsvSource("1,300", "2,900", "3,2000", "4,4000", "225,900")
     fun `the state service is slow and then out while users cancel and ask`(seed: Long, slowMs: Long) {
         val s = Stage(seed)
         s.begin()
--- a/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
@@ -147,6 +147,12 @@
         world.after(afterMs) { (rehearsal.nodes.firstOrNull { it.leads } ?: rehearsal.nodes.first()).report(body) {} }
     }
 
+    /** Keeps a report as it is now, to be delivered whenever what is returned is called. */
+    fun keepReport(): (NodeStand) -> Unit {
+        val body = wire(snapshot())
+        return { it.report(body) {} }
+    }
+
     /** Sabotage for tests of the checks: takes a start for [job] as if a controller had sent it now. */
     fun startUnasked(job: String) {
         execute(Command.Start(job, 0, 1_000_000L + world.time), world.time)
