--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -47,6 +47,7 @@
         settlement.onMarked = ::sendDirectly
         settlement.onBegun = fleet::reached
         fleet.onGone = settlement::machineGone
+        fleet.onNewSession = settlement::newSession
         fleet.reserve = placement::reserve
         jobs.onDone = door::finished
         jobs.onCancelled = { settlement.recorded(it, it.done) }
--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -28,6 +28,9 @@
     /** Set by the controller: everything on the machine is certainly gone. */
     var onGone: (Machine) -> Unit = {}
 
+    /** Set by the controller: the machine is in a new session; whether it had told our token in the one before. */
+    var onNewSession: (Machine, Boolean) -> Unit = { _, _ -> }
+
     private val leaseMs = (settings.leaseS * 1000).toLong()
 
     /** A machine that reports but hears nothing for this long is returned: it can run nothing, and costs. */
@@ -111,7 +114,7 @@
         m.address = report.address
         val freshSession = report.session > m.session
         if (freshSession) {
-            if (m.session > 0) onGone(m)
+            if (m.session > 0) onNewSession(m, m.token >= generation)
             m.session = report.session
             m.shunned = false
             m.seq = -1
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -76,10 +76,20 @@
         a.job.released(a.index)
     }
 
-    /** Everything on [machine] is certainly gone: deleted, lapsed, or in a new session. */
-    fun machineGone(machine: Machine) {
+    /** Everything on [machine] is certainly gone: deleted, lapsed, or from a session before a new one. */
+    fun machineGone(machine: Machine) = gone(machine, inherited = true)
+
+    /**
+     * [machine] is in a new session, which ends what was in the one before. That says nothing of what an earlier leader started:
+     * while the session that we knew is only told by reports of before our token, old copies among them, its starts may be in
+     * the new one. An earlier version took them for gone, and they ran twice.
+     */
+    fun newSession(machine: Machine, knewOurToken: Boolean) = gone(machine, inherited = knewOurToken)
+
+    private fun gone(machine: Machine, inherited: Boolean) {
         for (a in ArrayList(machine.attempts)) {
             if (a.phase == Attempt.Phase.MARKING) continue // its marker decides: see marked()
+            if (a.inherited && !inherited) continue
             if (a.phase == Attempt.Phase.EXITED && !a.forgettable) {
                 // Completed, and being recorded; the record does not need the machine.
                 continue
