What is cancelled is stopped directly, and no generation is raised while the state service is slow

Stops of cancelled jobs went out only with answers to reports, up to a report's period later. And a leader gives up the lead to raise its generation only while transactions take less than 0.4 s: in a slow spell nobody leads until the next has read everything. The new test fails with the version before.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -50,7 +50,7 @@
         fleet.onNewSession = settlement::newSession
         fleet.reserve = placement::reserve
         jobs.onDone = door::finished
-        jobs.onCancelled = { settlement.recorded(it, it.done) }
+        jobs.onCancelled = ::onCancelled
         log.source(jobs::nextUrgent)
         log.source(::place)
         log.source { room -> jobs.nextCompletion(room, settlement::recorded) }
@@ -227,6 +227,13 @@
         return dispatch.mark(allocations, room)
     }
 
+    /** What is cancelled is stopped at once where few machines have it, else with the answers to their next reports. */
+    private fun onCancelled(job: OpenJob) {
+        settlement.recorded(job, job.done)
+        if (job.live.isEmpty()) return
+        fleet.machines.filter { m -> m.attempts.any { it.job === job && it.onMachine } }.take(MOST_ASKED).forEach(::sendDirectly)
+    }
+
     // Workers
 
     private fun onReport(call: Int, report: WorkerReport) {
@@ -262,7 +269,7 @@
         if (!leadership.entitled() || m.directBusy || m.address.isEmpty() || m.session == 0L) return
         if (!m.hears || desk.steady - m.reportedAt > settings.reportS * 2000) return
         val starts = m.attempts.filter { it.phase == Attempt.Phase.MARKED && !it.job.cancelling && !it.job.cancelled }
-        val stops = m.attempts.filter { it.stopping && it.onMachine && it.stopSentAt == 0L }
+        val stops = m.attempts.filter { (it.stopping || it.job.cancelled) && it.onMachine && it.stopSentAt == 0L }
         if (starts.isEmpty() && stops.isEmpty()) return
         for (a in stops) a.stopSentAt = desk.steady // once; answers to reports repeat it
         for (a in starts) {
@@ -274,7 +281,7 @@
         m.askedAt = desk.steady
         val inTerm = term
         val session = m.session
-        val commands = stops.map { settlement.stop(it) } + starts.map { Command.Start(it.job.spec.id, it.index, it.number) }
+        val commands = stops.map(settlement::stop) + starts.map { Command.Start(it.job.spec.id, it.index, it.number) }
         desk.direct({ Effect.Direct(it, m.address, leadership.generation, session, commands) }) { reply ->
             if (term == inTerm) onDirect(m, session, starts, reply)
         }
@@ -323,7 +330,7 @@
     private fun raiseGenerationIfNeeded() {
         val t = desk.steady
         if (dispatch.exhausted) return leadership.depose("attempt numbers are used up")
-        if (log.stalled() || t - generationRaisedAt < RAISE_MS) return shunStuck(t)
+        if (log.slow() || t - generationRaisedAt < RAISE_MS) return shunStuck(t)
         val stuck = fleet.machines.any { m ->
             stuck(m, t) || m.attempts.size > MOST_KEPT && m.attempts.count { it.phase == Attempt.Phase.EXITED && it.forgettable } > MOST_KEPT
         }
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -277,8 +277,8 @@
      */
     private fun mayForget(a: Attempt): Boolean = !a.directPending && (!a.sentDirectly || a.completed && !a.job.cancelled)
 
-    /** Stops a task so that it saves its progress if it can. */
-    fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, a.job.spec.saveS + GRACE_S)
+    /** Stops a task so that it saves its progress if it can; nobody has any use for that of a cancelled one. */
+    fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, if (a.job.cancelled) 0.0 else a.job.spec.saveS + GRACE_S)
 
     private data class Identity(val job: Int, val index: Int, val number: Long)
 
--- a/src/main/kotlin/org/chalkhollow/core/StateLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/StateLog.kt
@@ -40,6 +40,7 @@
     private var lastSentAt = 0L
     private var retryAt = 0L
     private var failingSince = -1L
+    private var lastTookMs = 0L
 
     private class Batch(val writes: List<Write>, val op: StateOp.Commit, val firstSentAt: Long) {
         var uncertain = false
@@ -65,6 +66,7 @@
         batch = null
         stamps.clear()
         failingSince = -1
+        lastTookMs = 0
         retryAt = 0
     }
 
@@ -81,6 +83,9 @@
     /** Whether writes have failed for long enough that new requests should be turned away at once. */
     fun stalled(): Boolean = failingSince >= 0 && desk.steady - failingSince > STALL_MS
 
+    /** Whether the last transaction took long, or the one under way does: no time to give up the lead and ask for it again. */
+    fun slow(): Boolean = failingSince >= 0 || batch.let { it != null && desk.steady - it.firstSentAt > SLOW_MS } || lastTookMs > SLOW_MS
+
     /** Puts the next transaction together and sends it, when none is in flight and the budget allows. */
     fun pump() {
         if (!active) return
@@ -188,6 +193,7 @@
 
     private fun committed(b: Batch, revision: Long, sentAt: Long) {
         batch = null
+        lastTookMs = desk.steady - b.firstSentAt
         retryAt = 0
         failingSince = -1
         recordStamp = revision
@@ -211,6 +217,7 @@
         const val RETRY_MS = 250L
         const val SPACING_MS = 120L
         const val STALL_MS = 1000L
+        const val SLOW_MS = 400L
         const val TXN_BYTES = 40 * 1024
     }
 }
--- a/src/test/kotlin/org/chalkhollow/MeetingsOfMachinesTest.kt
+++ b/src/test/kotlin/org/chalkhollow/MeetingsOfMachinesTest.kt
@@ -2,10 +2,14 @@
 
 import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
+import org.chalkhollow.rehearsal.Rehearsal
 import org.chalkhollow.rehearsal.Stage
 import org.chalkhollow.rehearsal.Stage.Companion.START_MS
 import org.chalkhollow.rehearsal.WorkerStand
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
@@ -26,6 +30,23 @@
         for (n in s.r.nodes) s.r.network.cutOneWay(n.label, w.name, forMs)
     }
 
+    // Cancellations once travelled only in answers to reports: nobody has any use for what runs until then.
+    @Test
+    fun `what is cancelled stops at once, not with the next report`() {
+        val r = Rehearsal(3, leaseMs = 30_000, toldLeaseS = 30.0, reportMs = 9000)
+        r.network.loss = 0.0
+        r.network.late = 0.0
+        r.begin(0, 1)
+        var id = ""
+        r.world.after(12_000) { id = r.users.submit { it.copy(tasks = 6, each = Resources(2.0, 0.0, 1.0), types = null, zone = null, together = false, spread = false, expectedS = 300.0) } }
+        r.world.runUntil(40_000)
+        assertTrue(r.cloud.workers.sumOf { it.onMachine().size } == 6)
+        r.users.cancel(id)
+        r.world.runUntil(41_500)
+        assertEquals(0, r.cloud.workers.sumOf { it.onMachine().size })
+        assertEquals(emptyList<String>(), r.rules.violations)
+    }
+
     @ParameterizedTest
     @CsvSource("1,8000,true", "2,16000,false", "3,22000,true", "4,22000,false")
     fun `a team at its limit changes leaders while machines can't be asked and a job is called off`(seed: Long, leaseMs: Long, holds: Boolean) {
