--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -75,10 +75,20 @@
         a.job.released(a.index)
     }
 
-    /** Everything on [machine] is certainly gone: deleted, lapsed, or in a new session. */
-    fun machineGone(machine: Machine) {
+    /** Everything on [machine] is certainly gone: deleted, lapsed, or from a session before a new one. */
+    fun machineGone(machine: Machine) = gone(machine, inherited = true)
+
+    /**
+     * [machine] is in a new session, which ends what was in the one before. That says nothing of what an earlier leader started:
+     * while the session that we knew is only told by reports of before our token, old copies among them, its starts may be in
+     * the new one. An earlier version took them for gone, and they ran twice.
+     */
+    fun newSession(machine: Machine, knewOurToken: Boolean) = gone(machine, inherited = knewOurToken)
+
+    private fun gone(machine: Machine, inherited: Boolean) {
         for (a in ArrayList(machine.attempts)) {
             if (a.phase == Attempt.Phase.MARKING) continue // its marker decides: see marked()
+            if (a.inherited && !inherited) continue
             if (a.phase == Attempt.Phase.EXITED && !a.forgettable) {
                 // Completed, and being recorded; the record does not need the machine.
                 continue
@@ -275,8 +285,8 @@
      */
     private fun mayForget(a: Attempt): Boolean = !a.directPending && (!a.sentDirectly || a.completed && !a.job.cancelled)
 
-    /** Stops a task so that it saves its progress if it can. */
-    fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, a.job.spec.saveS + GRACE_S)
+    /** Stops a task so that it saves its progress if it can; nobody has any use for that of a cancelled one. */
+    fun stop(a: Attempt) = Command.Stop(a.job.spec.id, a.index, a.number, if (a.job.cancelled) 0.0 else a.job.spec.saveS + GRACE_S)
 
     private data class Identity(val job: Int, val index: Int, val number: Long)
 
