--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.rehearsal
 
 import org.chalkhollow.model.JobSpec
+import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.TaskReport
 
 /** The rules of the protocol, held against what the stand-ins see; [check] runs after each step. */
@@ -17,6 +18,12 @@
     private val done = HashMap<String, HashSet<Int>>()
     var starts = 0
         private set
+
+    /** When replicas of services ran. */
+    val services = ServiceRules(rehearsal)
+
+    /** Tasks that have begun at least once, by job. */
+    private val begun = HashMap<String, HashSet<Int>>()
     val completions: Int get() = done.values.sumOf { it.size }
     val acceptedCount: Int get() = acceptedIds.size
     val doneCount: Int get() = finalTold.values.count { it == "done" }
@@ -33,6 +40,7 @@
     fun started(task: WorkerStand.Task, spec: JobSpec, on: WorkerStand) {
         starts++
         begunAt.putIfAbsent(task.job, world.time)
+        begun.getOrPut(task.job) { HashSet() }.add(task.index)
         val cancelled = cancelledAt[task.job]
         if (cancelled != null && task.sentAt > cancelled) broken("ran_cancelled", "${task.name} was told to start after its user was told that it is cancelled")
         for (w in rehearsal.cloud.workers) {
@@ -73,9 +81,17 @@
     /** Notes that a user was told that [id] is accepted; true the first time. */
     fun accepted(id: String): Boolean {
         acceptedAt.putIfAbsent(id, world.time)
-        return acceptedIds.add(id)
+        val first = acceptedIds.add(id)
+        if (first) rehearsal.users.spec(id)?.takeIf { it.shape == Shape.SERVICE }?.let(services::accepted)
+        return first
     }
 
+    /** Whether [id] is accepted, and neither over nor called off by its user. */
+    fun isOpen(id: String): Boolean = id in acceptedIds && id !in finalTold && id !in wanted
+
+    /** The share of the replica time of service [id] that was served, from [afterMs] after its acceptance until it was called off. */
+    fun upShare(id: String, afterMs: Long): Double = services.share(id, acceptedAt.getValue(id) + afterMs, wantedAt[id] ?: world.time)
+
     fun refused(id: String, status: Int) {
         if (id in acceptedIds) broken("forgotten", "$id was accepted and is now answered with $status")
     }
@@ -96,7 +112,8 @@
         if (before != null && before != status) broken("went_back", "$id was $before and is now $status")
         if (status == "done") {
             val tasks = rehearsal.users.spec(id)?.tasks ?: 0
-            if ((done[id]?.size ?: 0) < tasks) broken("not_done", "$id has ${done[id]?.size ?: 0} of $tasks tasks done")
+            if (rehearsal.users.spec(id)?.shape == Shape.SERVICE) broken("not_done", "$id is a service, which is never done")
+            else if ((done[id]?.size ?: 0) < tasks) broken("not_done", "$id has ${done[id]?.size ?: 0} of $tasks tasks done")
             finalTold[id] = status
             finalToldAt.putIfAbsent(id, world.time)
         }
@@ -171,14 +188,21 @@
                 waitingSince[id] = world.time
             }
         }
+        services.checkDown(::isOpen) { couldBegin(it, byJob[it.id] ?: emptyList(), used, usable, stopsLower = true) }
     }
 
-    private fun couldBegin(spec: JobSpec, here: List<Pair<WorkerStand.Task, WorkerStand>>, used: Map<String, Double>, usable: List<WorkerStand>): Boolean {
+    private fun couldBegin(
+        spec: JobSpec,
+        here: List<Pair<WorkerStand.Task, WorkerStand>>,
+        used: Map<String, Double>,
+        usable: List<WorkerStand>,
+        stopsLower: Boolean = false,
+    ): Boolean {
         val limit = rehearsal.limits.first { it.name == spec.team }.cpusMax
         if ((used[spec.team] ?: 0.0) + spec.each.cpus > limit + 1e-6) return false
         return usable.any { w ->
             (spec.types == null || w.type.name in spec.types) && (spec.zone == null || spec.zone == w.zone) &&
-                (!w.spot || spec.spotAllowed) && w.hasRoomFor(spec) &&
+                (!w.spot || spec.spotAllowed) && w.hasRoomFor(spec, stopsLower) &&
                 (!spec.together || here.all { it.second.zone == w.zone }) &&
                 (!spec.spread || here.count { it.second.zone == w.zone } < (spec.tasks + 1) / 2)
         }
@@ -187,7 +211,7 @@
     /** To be called when a day is over: what was put off for good, by class, by team, and among a class's largest jobs. */
     fun starved(): List<String> {
         val jobs = acceptedIds.filter { it !in wanted }.mapNotNull { rehearsal.users.spec(it) }
-        fun served(some: List<JobSpec>) = some.count { (done[it.id]?.size ?: 0) == it.tasks }
+        fun served(some: List<JobSpec>) = some.count { ((if (it.shape == Shape.SERVICE) begun else done)[it.id]?.size ?: 0) == it.tasks }
         val out = ArrayList<String>()
         val groups = jobs.groupBy { "class " + it.workload } + jobs.groupBy { "team " + it.team }
         for ((name, some) in groups) if (served(some) * 2 < some.size) out.add("$name: ${served(some)} of ${some.size}")
@@ -215,6 +239,7 @@
     /** After each step; the machines are looked through when something on them has changed, and for time passing. */
     fun check() {
         checkLeaders()
+        services.sample()
         checkSlowly()
         if (!touched && world.time < fullCheckAt) return
         touched = false
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
@@ -17,6 +17,11 @@
     private val specs = HashMap<String, JobSpec>()
     private var next = 0
 
+    private val said = HashMap<String, ArrayList<String>>()
+
+    /** The states that its user was told of [id], in their order, each change once. */
+    fun statesTold(id: String): List<String> = said[id] ?: emptyList()
+
     fun spec(id: String): JobSpec? = specs[id]
 
     fun arrive() {
@@ -34,6 +39,36 @@
         return spec.id
     }
 
+    /**
+     * Submits a drawn service after [change], and returns its id; it is polled for ever. With [sentAs], a sabotage for tests of
+     * the checks, the controllers are sent something else than its user wants.
+     */
+    fun submitService(sentAs: (JobSpec) -> JobSpec = { it }, change: (JobSpec) -> JobSpec = { it }): String {
+        val spec = change(drawService())
+        specs[spec.id] = spec
+        submit(sentAs(spec), 0)
+        return spec.id
+    }
+
+    fun drawService(): JobSpec = draw().copy(
+        workload = "portal", shape = Shape.SERVICE, priority = Priority.PRODUCTION, tasks = world.random.nextInt(2, 5),
+        each = Resources(1.0, 0.0, 1.6), types = null, zone = null, together = false, spread = true, spotAllowed = false,
+        expectedS = 0.0, checkpointS = 0.0, saveS = 0.0, dueS = null,
+    )
+
+    /** Sends the body [raw] to [node] as a submission, and says which status it got, 0 for no answer. */
+    fun submitRaw(raw: ByteArray, node: NodeStand, then: (Int) -> Unit) {
+        val ask = UserAsk.ofSubmission(raw) ?: return then(400) // what the front does with a body without an id
+        var settled = false
+        fun settle(status: Int) {
+            if (settled) return
+            settled = true
+            then(status)
+        }
+        world.after(5000) { settle(0) }
+        if (!node.user(ask) { settle(it.status) }) settle(0)
+    }
+
     private fun draw(): JobSpec {
         val id = "j-" + (world.random.nextInt(1_000_000)).toString().padStart(6, '0') + (next++)
         val zone = if (world.chance(0.1)) rehearsal.zones[world.random.nextInt(2)] else null
@@ -188,6 +223,8 @@
         if (a.status != 200 && a.status != 201) return null
         val status = Fields.of(Pack.decode(a.body ?: return null), "answer").text("status")
         rehearsal.rules.told(id, status, askedAt)
+        val before = said.getOrPut(id) { ArrayList() }
+        if (before.lastOrNull() != status) before.add(status)
         return status
     }
 
--- a/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/WorkerStand.kt
@@ -5,6 +5,7 @@
 import org.chalkhollow.core.Input
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.MachineType
+import org.chalkhollow.model.Shape
 import org.chalkhollow.wire.Command
 import org.chalkhollow.wire.ExitCause
 import org.chalkhollow.wire.Fields
@@ -289,10 +290,13 @@
         }
     }
 
-    /** What fetching, running and saving tasks leave of this machine. */
-    fun hasRoomFor(spec: JobSpec): Boolean = usedCpus() + spec.each.cpus <= type.room.cpus + 1e-6 &&
-        tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.sumOf { rehearsal.users.spec(it.job)?.each?.memoryGb ?: 0.0 } +
-        spec.each.memoryGb <= type.room.memoryGb + 1e-6
+    /** Whether fetching, running and saving tasks leave room for a task of [spec]; with [stopsLower], those of lower priority do not count. */
+    fun hasRoomFor(spec: JobSpec, stopsLower: Boolean = false): Boolean {
+        val here = tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.mapNotNull { rehearsal.users.spec(it.job) }
+            .filter { !stopsLower || it.priority <= spec.priority }
+        return here.sumOf { it.each.cpus } + spec.each.cpus <= type.room.cpus + 1e-6 &&
+            here.sumOf { it.each.memoryGb } + spec.each.memoryGb <= type.room.memoryGb + 1e-6
+    }
 
     private fun usedCpus(): Double =
         tasks.values.filter { it.phase != TaskReport.Phase.EXITED }.sumOf { rehearsal.users.spec(it.job)?.each?.cpus ?: 0.0 }
@@ -302,6 +306,7 @@
         rehearsal.rules.touched()
         rehearsal.rules.started(task, spec, this)
         changed()
+        if (spec.shape == Shape.SERVICE) return serve(task, key)
         if (task.name in completed) return exit(task, ExitCause.DONE)
         val ms = (spec.expectedS * 1000 * (0.5 + world.random.nextDouble())).toLong()
         task.endsAt = world.time + ms
@@ -316,6 +321,20 @@
         }
     }
 
+    /** A replica runs until it is stopped, or until [end]; on a sick machine it fails. */
+    private fun serve(task: Task, key: String) {
+        task.endsAt = Long.MAX_VALUE
+        if (sick) at(task, 300, key) { exit(task, ExitCause.ERROR) }
+    }
+
+    /** Replica [index] of service [job] ends by itself here; false if it does not run here. */
+    fun end(job: String, index: Int, cause: ExitCause): Boolean {
+        val task = tasks.values.firstOrNull { it.job == job && it.index == index && it.phase == TaskReport.Phase.RUNNING }
+        if (task == null || !present || hanging) return false
+        exit(task, cause)
+        return true
+    }
+
     /** Goes on with [task] later, if it is still there; a hanging machine goes on when it resumes. */
     private fun at(task: Task, ms: Long, key: String, run: () -> Unit) {
         world.after(ms) {
