--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/ServiceMovesTest.kt
@@ -0,0 +1,180 @@
+package org.chalkhollow
+
+import org.chalkhollow.rehearsal.Rehearsal
+import org.chalkhollow.rehearsal.WorkerStand
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.wire.ExitCause
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Services when machines or controllers fail: replicas run again elsewhere, or go on, under every rule. */
+class ServiceMovesTest {
+    /** Machines with room for everything, half of them in each zone, and a service of four replicas that runs on them at [READY_MS]. */
+    private class Running(seed: Long, leaseMs: Long, spot: Boolean = false, machines: Int = 6, tasks: Int = 4) {
+        val r = Rehearsal(seed, OperatorSettings(idleReturnS = 900.0), leaseMs, leaseMs / 1000.0, capacity = 20)
+        val id: String
+
+        init {
+            r.network.loss = 0.0
+            r.network.late = 0.0
+            r.begin(0, 1, if (spot) 0 else machines, firstMs = 4000)
+            if (spot) repeat(machines) { r.cloud.add(r.types[0], r.zones[it % 2], true, 0) }
+            r.world.runUntil(12_000)
+            id = r.users.submitService { it.copy(tasks = tasks, spotAllowed = spot) }
+            r.rules.calmFrom = READY_MS
+            r.world.runUntil(READY_MS)
+            assertEquals(tasks, r.rules.services.up(id))
+        }
+
+        fun at(ms: Long, run: () -> Unit) = r.world.after(ms - r.world.time, run)
+
+        fun holds() {
+            assertEquals(emptyList<String>(), r.rules.violations)
+            assertEquals(emptyList<String>(), r.rules.starved())
+            assertEquals(r.users.spec(id)?.tasks, r.rules.services.up(id))
+        }
+    }
+
+    /** What befalls a machine, and whether its lease has to be over before its replicas may begin elsewhere. */
+    enum class Trouble(private val waitsForLease: Boolean, private val reportMs: Long = 2500) {
+        DIES(true) {
+            override fun strike(r: Rehearsal, w: WorkerStand) = r.cloud.kill(w.name)
+        },
+        HANGS(true) {
+            override fun strike(r: Rehearsal, w: WorkerStand) = w.hang(60_000)
+        },
+
+        /**
+         * It runs its tasks until its lease is over, and says so in its next report to the leader: every 5 s it gives one up and
+         * turns to the next of three controllers.
+         */
+        DEAF(false, 15_000) {
+            override fun strike(r: Rehearsal, w: WorkerStand) = r.nodes.forEach { r.network.cutOneWay(it.label, w.name, 60_000) }
+        },
+        CUT_OFF(false) {
+            override fun strike(r: Rehearsal, w: WorkerStand) = r.nodes.forEach { r.network.cut(it.label, w.name, 60_000, true) }
+        },
+
+        /** The cloud says 15 s before that it takes the machine. */
+        TAKEN(false) {
+            override fun strike(r: Rehearsal, w: WorkerStand) {
+                w.noticeAt = r.world.time + 15_000
+                r.world.after(15_000) { r.cloud.kill(w.name) }
+            }
+        },
+        SICK(false) {
+            override fun strike(r: Rehearsal, w: WorkerStand) {
+                w.sick = true
+                for (t in w.onMachine()) w.end(t.job, t.index, ExitCause.ERROR)
+            }
+        };
+
+        /**
+         * How long a replica may be down. A report is due every 2 s, give or take a quarter, and what one tells is placed, written
+         * down and started within [REACT_MS]; an image takes 3 s at most. What waits for the lease waits for as long as that is,
+         * and 0.1% for clocks that drift.
+         */
+        fun mostDownMs(leaseMs: Long) = (if (waitsForLease) leaseMs + leaseMs / 1000 else reportMs) + REACT_MS + FETCH_MS
+
+        abstract fun strike(r: Rehearsal, w: WorkerStand)
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a service runs elsewhere when something befalls its machine`(trouble: Trouble) {
+        val broken = ArrayList<String>()
+        for ((seed, leaseMs) in listOf(1L to 8000L, 2L to 16_000L, 3L to 22_000L)) {
+            val s = Running(seed, leaseMs, spot = trouble == Trouble.TAKEN)
+            val struck = s.r.cloud.workers.first { it.onMachine().isNotEmpty() }
+            trouble.strike(s.r, struck)
+            s.r.world.runUntil(READY_MS + leaseMs + 30_000)
+            s.holds()
+            assertTrue(struck.onMachine().isEmpty(), "seed $seed: replicas are back on ${struck.name}")
+            val down = s.r.rules.services.longestDownMs(s.id, READY_MS)
+            if (down > trouble.mostDownMs(leaseMs)) broken.add("seed $seed, lease $leaseMs: down for $down ms of ${trouble.mostDownMs(leaseMs)}")
+        }
+        assertEquals(emptyList<String>(), broken)
+    }
+
+    enum class Loss { LEADER_CRASHES, LEADERS_CHANGE_OFTEN, ALL_CRASH, ROLLING_RESTART, STATE_OUTAGE, OUTAGE_WITH_CRASH }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `replicas run on when controllers or the state service fail for less than a lease`(loss: Loss) {
+        for (seed in 1L..3L) {
+            val s = Running(seed, 16_000)
+            val r = s.r
+            val starts = r.rules.starts
+            fun crash(backMs: Long, all: Boolean = false) = r.nodes.filter { all || it.leads }.forEach { n ->
+                n.crash()
+                r.world.after(backMs) { n.start() }
+            }
+            when (loss) {
+                Loss.LEADER_CRASHES -> crash(5000)
+                Loss.LEADERS_CHANGE_OFTEN -> for (i in 0L..5L) s.at(READY_MS + i * 10_000) { crash(2000) }
+                Loss.ALL_CRASH -> crash(6000, all = true)
+                Loss.ROLLING_RESTART -> r.nodes.forEachIndexed { i, n ->
+                    s.at(READY_MS + i * 8000L) { n.crash() }
+                    s.at(READY_MS + i * 8000L + 6000) { n.start() }
+                }
+                Loss.STATE_OUTAGE -> r.state.outage(14_000)
+                Loss.OUTAGE_WITH_CRASH -> {
+                    r.state.outage(6000)
+                    s.at(READY_MS + 1000) { crash(1000) }
+                }
+            }
+            r.world.runUntil(READY_MS + 120_000)
+            s.holds()
+            assertEquals(starts, r.rules.starts, "$loss, seed $seed: replicas began again")
+            assertEquals(1.0, r.rules.services.share(s.id, READY_MS, r.world.time), 1e-9, "$loss, seed $seed")
+        }
+    }
+
+    /** Two services, the second [spread] or together, while a machine that runs something dies every [everyMs] for five minutes. */
+    private fun moves(seed: Long, spread: Boolean, everyMs: Long): Pair<Rehearsal, List<String>> {
+        val s = Running(seed, 8000, machines = 8, tasks = 6)
+        val r = s.r
+        val other = r.users.submitService { it.copy(team = "red", tasks = 5, spread = spread, together = !spread) }
+        r.world.runUntil(READY_MS + 10_000)
+        assertEquals(5, r.rules.services.up(other))
+        for (at in 0L until 300_000 step everyMs) s.at(READY_MS + 10_000 + at) {
+            val up = r.cloud.workers.filter { it.onMachine().isNotEmpty() }
+            if (up.isNotEmpty()) r.cloud.kill(up[r.world.random.nextInt(up.size)].name)
+        }
+        r.world.runUntil(READY_MS + 360_000)
+        s.holds()
+        assertEquals(5, r.rules.services.up(other))
+        return r to listOf(s.id, other)
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,true", "2,true", "3,true", "4,false", "5,false", "6,false")
+    fun `spread and together hold through many moves`(seed: Long, spread: Boolean) {
+        val (r, _) = moves(seed, spread, 10_000)
+        assertTrue(r.rules.starts > 40, "only ${r.rules.starts} starts")
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `a service withdrawn while its machines are out of reach is gone in time`(seed: Long) {
+        val s = Running(seed, 16_000)
+        val r = s.r
+        val busy = r.cloud.workers.filter { it.onMachine().isNotEmpty() }
+        for (w in busy) for (n in r.nodes) r.network.cut(n.label, w.name, 12_000, true)
+        r.users.cancel(s.id)
+        r.world.runUntil(READY_MS + 2000 + r.cancelMs)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertEquals("aborted", r.users.statesTold(s.id).last())
+        assertTrue(r.cloud.workers.all { it.onMachine().isEmpty() })
+    }
+
+    private companion object {
+        const val READY_MS = 25_000L
+        const val REACT_MS = 3000L
+        const val FETCH_MS = 3000L
+    }
+}
