Failing: an urgent service begins within 10 s although batch work fills everything

Placement stops work of lower priority only for jobs whose class has an aim on starts, on machines that hold their image, and only what saves or is young and lies outside its team's guarantee; a team that is at its limit by its own batch work never has any of it stopped.

--- a/src/test/kotlin/org/chalkhollow/ServicesTest.kt
+++ b/src/test/kotlin/org/chalkhollow/ServicesTest.kt
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.EnumSource
 import org.junit.jupiter.params.provider.ValueSource
 
 /** Services: tasks (replicas) that run until their user withdraws the job, beside batch work. */
@@ -128,6 +129,28 @@
         holds(r)
     }
 
+    enum class Full { MACHINES_BY_OTHERS, MACHINES_BY_ITS_TEAM, ITS_LIMIT }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `an urgent service begins within 10 s although batch work fills everything`(full: Full) {
+        for (seed in 1L..3L) {
+            val r = quiet(seed, capacity = if (full == Full.ITS_LIMIT) 10 else 6, machines = if (full == Full.ITS_LIMIT) 10 else 6)
+            r.users.submit(batch("red", if (full == Full.MACHINES_BY_OTHERS) 4 else 20, 2.0, 300.0))
+            r.users.submit(batch("blue", if (full == Full.MACHINES_BY_ITS_TEAM) 4 else 20, 2.0, 300.0))
+            r.world.runUntil(25_000)
+            val filled = if (full == Full.ITS_LIMIT) 40 else 24
+            assertEquals(filled, r.rules.starts, "the machines are not full")
+            val id = r.users.submitService { it.copy(team = "red", tasks = 4) }
+            r.rules.calmFrom = 25_000
+            r.world.runUntil(36_000)
+            assertEquals(emptyList<String>(), r.rules.violations)
+            assertEquals(4, r.rules.services.up(id), "$full, seed $seed")
+            val down = r.rules.services.longestDownMs(id, 25_000)
+            assertTrue(down <= 10_000, "$full, seed $seed: began after $down ms")
+        }
+    }
+
     /** A day of one team's batch work, with or without services that take 8 of its 40 CPUs. */
     private fun batchDay(seed: Long, services: Int): Rehearsal {
         val r = quiet(seed)
