--- a/src/test/kotlin/org/chalkhollow/ServiceChecksTest.kt
+++ b/src/test/kotlin/org/chalkhollow/ServiceChecksTest.kt
@@ -15,13 +15,19 @@
         val rules: Set<String> get() = r.rules.violations.mapTo(HashSet()) { it.substringBefore(' ') }
     }
 
-    private fun played(untilMs: Long, sentAs: (JobSpec) -> JobSpec): Played {
-        val r = Rehearsal(4, OperatorSettings(idleReturnS = 900.0))
+    private fun started(r: Rehearsal): Rehearsal {
         r.network.loss = 0.0
         r.network.late = 0.0
         r.begin(0, 1, machines = 6, firstMs = 4000)
         r.world.runUntil(12_000)
-        val id = r.users.submitService(sentAs) { it.copy(tasks = 4) }
+        return r
+    }
+
+    private fun played(untilMs: Long, sentAs: (JobSpec) -> JobSpec) = played(untilMs, sentAs) { it }
+
+    private fun played(untilMs: Long, sentAs: (JobSpec) -> JobSpec, change: (JobSpec) -> JobSpec): Played {
+        val r = started(Rehearsal(4, OperatorSettings(idleReturnS = 900.0)))
+        val id = r.users.submitService(sentAs) { change(it.copy(tasks = 4)) }
         r.rules.calmFrom = 20_000
         r.world.runUntil(untilMs)
         return Played(r, id)
@@ -51,6 +57,55 @@
         assertEquals(0.75, poor.r.rules.upShare(poor.id, 6000), 1e-9)
     }
 
+    @Test
+    fun `a service in the wrong zones is noticed`() {
+        assertEquals(setOf("wrong_place"), played(20_000) { it.copy(spread = false) }.rules)
+        assertEquals(setOf("wrong_place"), played(20_000, { it.copy(together = false, spread = true) }) { it.copy(together = true, spread = false) }.rules)
+    }
+
+    @Test
+    fun `a service beyond its team's limit is noticed`() {
+        val seen = listOf(1.0, 2.0).map { factor ->
+            val r = started(Rehearsal(4, OperatorSettings(idleReturnS = 900.0), toldLimitFactor = factor))
+            repeat(2) { r.users.submitService { it.copy(team = "red", tasks = 24, spread = false) } }
+            r.world.runUntil(40_000)
+            r.rules.violations.mapTo(HashSet()) { it.substringBefore(' ') }
+        }
+        assertEquals(listOf(emptySet(), setOf("quota")), seen)
+    }
+
+    @Test
+    fun `a replica that runs twice, or on after its service was withdrawn, is noticed`() {
+        for (withdrawn in listOf(false, true)) {
+            val r = started(Rehearsal(4, OperatorSettings(idleReturnS = 900.0), leaseMs = 100_000, toldLeaseS = 8.0))
+            val id = r.users.submitService { it.copy(tasks = 4, spread = false) }
+            r.world.runUntil(20_000)
+            val w = r.cloud.workers.first { it.onMachine().isNotEmpty() }
+            for (n in r.nodes) r.network.cut(n.label, w.name, 60_000, true)
+            if (withdrawn) r.users.cancel(id)
+            r.world.runUntil(60_000)
+            assertEquals(setOf(if (withdrawn) "ran_cancelled" else "ran_twice"), r.rules.violations.mapTo(HashSet()) { it.substringBefore(' ') })
+        }
+    }
+
+    @Test
+    fun `a service that nobody answers for is noticed`() {
+        val p = played(20_000) { it }
+        p.r.nodes.forEach { it.crash() }
+        p.r.world.runUntil(130_000)
+        assertTrue("forgotten" in p.rules, "only ${p.rules}")
+    }
+
+    @Test
+    fun `batch work that is late is not counted as on time`() {
+        for ((dueS, onTime) in listOf(60.0 to 1, 3.0 to 0)) {
+            val p = played(20_000) { it }
+            p.r.users.submit { it.copy(tasks = 1, types = null, zone = null, expectedS = 8.0, dueS = dueS) }
+            p.r.world.runUntil(60_000)
+            assertEquals(onTime, p.r.rules.onTimeCount)
+        }
+    }
+
     @Test
     fun `a machine that hangs serves nothing, however short`() {
         val p = played(20_000) { it }
@@ -65,11 +120,7 @@
 
     @Test
     fun `a service of a team at its limit is not missed`() {
-        val r = Rehearsal(4, OperatorSettings(idleReturnS = 900.0))
-        r.network.loss = 0.0
-        r.network.late = 0.0
-        r.begin(0, 1, machines = 6, firstMs = 4000)
-        r.world.runUntil(12_000)
+        val r = started(Rehearsal(4, OperatorSettings(idleReturnS = 900.0)))
         for (tasks in listOf(40, 4)) {
             r.users.submitService { it.copy(team = "red", tasks = tasks, spread = false) }
             r.world.runUntil(r.world.time + 10_000)
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
@@ -56,9 +56,23 @@
 
     fun completed(task: WorkerStand.Task) {
         val ended = done.getOrPut(task.job) { HashSet() }
-        if (ended.add(task.index) && ended.size == rehearsal.users.spec(task.job)?.tasks) rehearsal.users.ended(task.job)
+        if (ended.add(task.index) && ended.size == rehearsal.users.spec(task.job)?.tasks) {
+            endedAt[task.job] = world.time
+            rehearsal.users.ended(task.job)
+        }
     }
 
+    /** When the last task of a job was completed. */
+    private val endedAt = HashMap<String, Long>()
+
+    /** Accepted jobs that were complete by their deadline, counted from their acceptance. */
+    val onTimeCount: Int
+        get() = acceptedIds.count { id ->
+            val dueS = rehearsal.users.spec(id)?.dueS
+            val end = endedAt[id]
+            dueS != null && end != null && end - acceptedAt.getValue(id) <= dueS * 1000
+        }
+
     /** Whether all other tasks of its job are done. */
     fun isLast(task: WorkerStand.Task): Boolean {
         val ended = done[task.job] ?: emptySet()
