--- a/src/test/kotlin/org/chalkhollow/ServicesTest.kt
+++ b/src/test/kotlin/org/chalkhollow/ServicesTest.kt
@@ -171,6 +171,8 @@
         val with = batchDay(seed, 2)
         holds(with)
         assertEquals(30, with.rules.doneCount, "with services ${with.rules.pending()}")
+        assertEquals(30, without.rules.onTimeCount)
+        assertEquals(30, with.rules.onTimeCount)
     }
 
     @Test
