--- a/src/main/kotlin/org/chalkhollow/core/Fleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Fleet.kt
@@ -468,7 +468,7 @@
         var left = u.count
         for (v in rooms) {
             if (left == 0) break
-            if (allows(u.job, v.type, v.zone, v.spot)) left -= v.take(u.job, left)
+            if (u.admits(v.zone) && allows(u.job, v.type, v.zone, v.spot)) left -= v.take(u.job, left)
         }
         return left
     }
@@ -502,7 +502,7 @@
             if (each <= 0) continue
             for (zoneName in type.zones) {
                 val zone = names.zones.intern(zoneName)
-                if (zone in unreached) continue
+                if (zone in unreached || !u.admits(zone)) continue
                 for (spot in SPOT_FIRST) {
                     val offer = Offer(index, zone, spot)
                     if (!allows(job, index, zone, spot) || t < (refusedUntil[offer] ?: 0)) continue
--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -21,8 +21,13 @@
     private val options: OperatorSettings,
     private val aims: Aims,
 ) {
-    /** A class of tasks that found no room, for the fleet to rent by; [pressing] if it would be late without dear machines. */
-    class Unplaced(val job: OpenJob, val count: Int, val pressing: Boolean)
+    /**
+     * A class of tasks that found no room, for the fleet to rent by; [pressing] if it would be late without dear machines. Only
+     * [zones] are of use to it now, if any are named: the others have as much of it as they may.
+     */
+    class Unplaced(val job: OpenJob, val count: Int, val pressing: Boolean, val zones: ZoneRule? = null) {
+        fun admits(zone: Int): Boolean = zones == null || zones.roomIn(zone) > 0
+    }
 
     var unplaced: List<Unplaced> = emptyList()
         private set
@@ -152,6 +157,7 @@
         }
         unplaced = round.left
         preempt(round.left, placeable)
+        for ((job, count) in round.limited) makeWayWithinLimit(job, count)
         return round.out
     }
 
@@ -176,6 +182,9 @@
         private val taken = HashMap<OpenJob, Int>()
         private var kept = false
 
+        /** Replicas that their team's limit keeps from running. */
+        val limited = ArrayList<Pair<OpenJob, Int>>()
+
         fun serve(job: OpenJob, heldOnly: Boolean) {
             if (!job.service && !goesFirst(job) && !kept) {
                 kept = true
@@ -183,6 +192,7 @@
             }
             val ready = job.ready.cardinality() - (taken[job] ?: 0)
             val wanted = minOf(ready, headroom(job, given, givenCards))
+            if (job.service && wanted < ready) limited.add(job to ready - wanted)
             var want = wanted
             if (job.failures > 0 && job.failsAround(desk.steady)) want = minOf(want, 1) // a probe, not the whole array
             if (goesFirst(job) && !job.gang) want = minOf(want, maxOf(1, (minOf(job.owedCpus, owedLeft) / maxOf(job.each.cpus, 0.1)).toInt()))
@@ -199,7 +209,15 @@
             if (placed == ready) job.allPlacedWall = desk.now.wall
             if (heldOnly || placed >= wanted) return
             if (want > 0) backlog += (wanted - placed) * job.each.cpus * job.spec.expectedS
-            left.add(Unplaced(job, wanted - placed, want > 0 && pressing(job, backlog / maxOf(1.0, capacity))))
+            val zones = if (job.spec.spread || job.spec.together) zonesAfter(job) else null
+            left.add(Unplaced(job, wanted - placed, want > 0 && pressing(job, backlog / maxOf(1.0, capacity)), zones))
+        }
+
+        /** The rule on zones as it stands with what this round has given the job; null while it leaves all zones open. */
+        private fun zonesAfter(job: OpenJob): ZoneRule? {
+            val zones = ZoneRule(job, fleet)
+            for (a in out) if (a.job === job) zones.take(a.machine.zone, a.tasks.size)
+            return zones.takeIf { it.binds }
         }
 
         private fun note(job: OpenJob, placed: Int) {
@@ -312,10 +330,27 @@
         }
     }
 
+    /** Work of lower priority of its own team gives way to replicas that the team's limit would keep from running. */
+    private fun makeWayWithinLimit(job: OpenJob, count: Int) {
+        var need = count * job.each.cpus
+        val victims = ArrayList<Attempt>()
+        for (m in fleet.machines) for (a in m.attempts) {
+            if (a.job.team != job.team) continue
+            if (a.stopping && a.onMachine) need -= a.job.each.cpus
+            else if (yieldsTo(a, job)) victims.add(a)
+        }
+        victims.sortWith(cheapestFirst)
+        for (a in victims) {
+            if (need <= Resources.EPSILON) return
+            a.stopping = true
+            need -= a.job.each.cpus
+            preempted.add(a.machine)
+        }
+    }
+
     private fun preemptFor(u: Unplaced, candidates: List<Machine>, urgent: Boolean, owed: Boolean) {
         val job = u.job
-        val zones = ZoneRule(job, fleet)
-        val places = candidates.filter { (job.service || !fetches(job, it)) && allowed(job, it) && zones.roomIn(it.zone) > 0 }
+        val places = candidates.filter { (job.service || !fetches(job, it)) && allowed(job, it) && u.admits(it.zone) }
         var need = u.count - places.sumOf { job.each.countIn(roomAfterStops(it)) }
         if (need <= 0) return
         val victims = places.associateWith { m -> m.attempts.filter { mayStop(it, job, urgent, owed) }.sortedWith(cheapestFirst) }
@@ -552,6 +587,9 @@
         }
     }
 
+    /** Whether some zone is closed to the job as things stand. */
+    val binds: Boolean get() = job.spec.spread || only >= 0
+
     /** A task may be in a zone that is not known: `together` has to wait. */
     val blocked: Boolean get() = job.spec.together && (unknown > 0 || perZone.size > 1)
 
@@ -570,5 +608,6 @@
 
     fun take(zone: Int, n: Int) {
         perZone.merge(zone, n, Int::plus)
+        if (job.spec.together && only < 0) only = zone
     }
 }
