Refused writes are taken apart and stall nothing; smaller pages replace larger ones without a loss; small records of cancelled jobs

A transaction that the state service refuses (400), or keeps refusing for its rate, is sent in smaller ones, down to one write; what is refused alone goes back to its source: hints are dropped, acceptances answered 503, the rest is tried again later. Progress pages of a version with larger values are overwritten only once what they hold beyond ours is durable elsewhere. A cancelled job's record leaves out what only placement needs when it does not fit.

--- a/src/main/kotlin/org/chalkhollow/core/BaseFleet.kt
+++ b/src/main/kotlin/org/chalkhollow/core/BaseFleet.kt
@@ -39,10 +39,13 @@
         var size = Sizes.of(KEY)
         val kept = sorted.takeWhile { name -> Sizes.of(name).let { size += it + 1; size < limits.valueBytes - 64 } }
         names = HashSet(kept)
-        due = Write(listOf(Change(KEY, mapOf("names" to kept)))) {}
+        due = write(kept)
         desk.info("${kept.size} machines were here before us")
     }
 
+    private fun write(kept: List<String>): Write =
+        Write(listOf(Change(KEY, mapOf("names" to kept))), onRefused = { if (kept.isNotEmpty()) due = write(kept.take(kept.size / 2)) }) {}
+
     /** Whether renting may begin: what is listed later might be ours. */
     val known: Boolean get() = recorded || !first
 
--- a/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
@@ -23,12 +23,16 @@
     private var generation = 0L
     private var round = 0L
 
+    /** Most bytes of a marker: the state service's limit, or less when it has refused one. */
+    private var mostBytes = limits.valueBytes
+
     /** Attempt numbers of this generation are used up; the next generation has new ones. */
     val exhausted: Boolean get() = round >= ROUNDS - 1
 
     fun start(newGeneration: Long) {
         generation = newGeneration
         round = 0
+        mostBytes = limits.valueBytes
         trash.clear()
     }
 
@@ -50,7 +54,7 @@
         }
         // A gang whose rows do not all fit waits for a round of its own: it is marked whole or not at all.
         val tooLarge = allocations.filter { it.job.gang }.groupBy { it.job }.filterValues { rows ->
-            rows.sumOf { rowBytes(it) } + BASE_BYTES > minOf(limits.valueBytes, room.bytes / 2)
+            rows.sumOf { rowBytes(it) } + BASE_BYTES > minOf(mostBytes, room.bytes / 2)
         }.keys
         var gangs: OpenJob? = null
         for (allocation in allocations) {
@@ -62,8 +66,8 @@
             }
             val row = listOf(allocation.job.spec.id, allocation.machine.name, ranges(allocation.tasks))
             val rowSize = rowBytes(allocation)
-            if (rowSize + BASE_BYTES > limits.valueBytes) continue
-            if (marker != null && size + rowSize > limits.valueBytes) seal()
+            if (rowSize + BASE_BYTES > mostBytes) continue
+            if (marker != null && size + rowSize > mostBytes) seal()
             if (total + rowSize + BASE_BYTES > room.bytes) break
             if (marker == null && (changes.size >= room.ops || exhausted)) break
             val m = marker ?: nextMarker().also { marker = it; markers.add(it) }
@@ -76,7 +80,10 @@
         }
         seal()
         if (changes.isEmpty()) return null
-        return Write(changes) {
+        return Write(changes, onRefused = {
+            mostBytes = maxOf(LEAST_BYTES, mostBytes / 2)
+            settlement.unmarked(attempts)
+        }) {
             for (m in markers) m.durable = true
             settlement.marked(attempts)
         }
@@ -97,7 +104,7 @@
     fun nextTrash(room: StateLog.Room): Write? {
         if (room.ops < 1) return null
         val key = trash.removeFirstOrNull() ?: return null
-        return Write(listOf(Change(key, null))) {}
+        return Write(listOf(Change(key, null)), onRefused = { trash.add(key) }) {}
     }
 
     /** Takes in an earlier leader's marker: its attempts are in doubt until their machines tell, or are gone. */
@@ -124,6 +131,7 @@
         const val MARK = "mark/"
         private const val ROUNDS = 1L shl 16
         private const val BASE_BYTES = 160
+        private const val LEAST_BYTES = 512
 
         /** `0-3,7` for 0, 1, 2, 3 and 7. */
         fun ranges(sorted: IntArray): String {
--- a/src/main/kotlin/org/chalkhollow/core/Door.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Door.kt
@@ -97,7 +97,7 @@
         if (!jobs.fits(spec)) return reply(call, 400)
         if (log.stalled() || accepting.size >= MOST_ACCEPTING) return later(call)
         accepting[spec.id] = Waiting(arrayListOf(call), desk.steady)
-        jobs.accept(spec) {
+        jobs.accept(spec, refused = { accepting.remove(spec.id)?.calls?.forEach(::later) }) {
             accepting.remove(spec.id)?.calls?.forEachIndexed { i, c ->
                 reply(c, if (i == 0) 201 else 200, UserCodec.status(spec.id, "queued"))
             }
--- a/src/main/kotlin/org/chalkhollow/core/ImageMemory.kt
+++ b/src/main/kotlin/org/chalkhollow/core/ImageMemory.kt
@@ -4,6 +4,7 @@
 import org.chalkhollow.wire.Change
 import org.chalkhollow.wire.Fields
 import org.chalkhollow.wire.Row
+import java.util.TreeSet
 
 /**
  * Owns what is written down of which machine holds which images. Reports do not tell, and a new leader that did not know
@@ -20,13 +21,18 @@
     private val pageSize = maxOf(1, limits.valueBytes / MACHINE_BYTES)
     private val written = HashMap<Int, Map<String, Any?>>()
 
+    /** Pages that an earlier leader left, perhaps of another size: they are written anew, or removed. */
+    private val inherited = TreeSet<Int>()
+
     fun start() {
         remembered.clear()
         written.clear()
+        inherited.clear()
         writtenAt = desk.steady
     }
 
     fun load(row: Row) {
+        row.key.substringAfterLast('/').toIntOrNull()?.let(inherited::add)
         val f = Fields.of(row.value, row.key)
         val images = f.texts("images")
         for ((machine, value) in Fields.of(f.map["held"], row.key).map) {
@@ -58,9 +64,12 @@
         val page = nextPage % pages
         nextPage = page + 1
         val value = value(page)
-        if (value == (written[page] ?: EMPTY)) return null
+        if (!inherited.remove(page) && value == (written[page] ?: EMPTY)) {
+            val left = inherited.ceiling(pages)?.also(inherited::remove) ?: return null
+            return Write(listOf(Change("$KEY/$left", null)), onRefused = {}) {}
+        }
         written[page] = value
-        return Write(listOf(Change("$KEY/$page", value))) {}
+        return Write(listOf(Change("$KEY/$page", value)), onRefused = { written.remove(page) }) {}
     }
 
     private fun value(page: Int): Map<String, Any?> {
--- a/src/main/kotlin/org/chalkhollow/core/Job.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Job.kt
@@ -29,11 +29,18 @@
     var cancelling = false
     var sealing = false
 
-    /** Pages of the done set that are not written yet, and those that exist in the state service. */
+    /** Pages of the done set that are not written yet, and the first tasks of those that exist in the state service. */
     val dirtyPages = BitSet()
-    val writtenPages = BitSet()
+    val writtenPages = IntOpenHashSet()
     var dirtySince = 0L
 
+    /** Pages whose stored record reaches beyond them, and those that hold what it has there and are not durable yet. */
+    val oversized = BitSet()
+    val rewritten = BitSet()
+
+    /** The state service refused a record of its progress, which is written again from this moment on. */
+    var writeAfter = 0L
+
     /** Nothing is placed before this moment, since tasks failed. */
     var notBefore = 0L
     var failures = 0
--- a/src/main/kotlin/org/chalkhollow/core/JobTable.kt
+++ b/src/main/kotlin/org/chalkhollow/core/JobTable.kt
@@ -18,6 +18,9 @@
     private val openJobs = LinkedHashSet<OpenJob>()
     private val urgent = ArrayDeque<Write>()
     private val trash = ArrayDeque<Write>()
+
+    /** What was refused and is tried again, by when. */
+    private val refused = ArrayDeque<Pair<Long, Write>>()
     private val pageTasks = limits.valueBytes * 2 // a page's Base64 text then takes a third of a value
 
     val open: Collection<OpenJob> get() = openJobs
@@ -29,6 +32,7 @@
         cancelledJobs.clear()
         urgent.clear()
         trash.clear()
+        refused.clear()
         names.jobs.clear()
     }
 
@@ -49,12 +53,12 @@
     private fun record(spec: JobSpec, wall: Long): Map<String, Any?> =
         mapOf("s" to "open", "at" to wall, "j" to UserCodec.map(spec))
 
-    /** Queues a new job for its durable record; [then] runs once it is accepted. */
-    fun accept(spec: JobSpec, then: () -> Unit) {
+    /** Queues a new job for its durable record; [then] runs once it is accepted, [refused] when its record cannot be written. */
+    fun accept(spec: JobSpec, refused: () -> Unit, then: () -> Unit) {
         val entry = entry(spec.id, spec.tasks)
         val wall = desk.now.wall
         urgent.add(
-            Write(listOf(Change(JOB + spec.id, record(spec, wall)))) {
+            Write(listOf(Change(JOB + spec.id, record(spec, wall))), refused) {
                 entry.state = JobState.OPEN
                 openUp(entry, spec, wall)
                 then()
@@ -79,22 +83,43 @@
     /** Queues the cancellation of an open job; [then] runs once it is durable. */
     fun cancel(job: OpenJob, then: () -> Unit) {
         job.cancelling = true
-        urgent.add(
-            Write(listOf(Change(JOB + job.spec.id, finalRecord("cancelled", job) + ("j" to UserCodec.map(job.spec))))) {
-                close(job, JobState.CANCELLED)
-                onCancelled(job)
-                then()
-            },
-        )
+        val records = cancelledRecords(job)
+        val first = records.indexOfFirst { Sizes.of(it) <= limits.valueBytes }
+        cancel(job, if (first < 0) records.takeLast(1) else records.drop(first), then)
     }
 
+    /** Writes the first of [records], or the next when that is refused; the last is tried again and again. */
+    private fun cancel(job: OpenJob, records: List<Map<String, Any?>>, then: () -> Unit) {
+        fun write(record: Map<String, Any?>, onRefused: () -> Unit) = Write(listOf(Change(JOB + job.spec.id, record)), onRefused) {
+            close(job, JobState.CANCELLED)
+            onCancelled(job)
+            then()
+        }
+        if (records.size > 1) urgent.add(write(records.first()) { cancel(job, records.drop(1), then) })
+        else urgent.add(write(records.first()) { later(write(records.first()) { cancel(job, records, then) }) })
+    }
+
+    /** What is written of a cancelled job, the fullest first. Its tasks are only waited for, so where they may run can be left out. */
+    private fun cancelledRecords(job: OpenJob): List<Map<String, Any?>> {
+        val last = finalRecord("cancelled", job)
+        val spec = UserCodec.map(job.spec)
+        val small = spec - "flavours"
+        return listOf(last + ("j" to spec), last + ("j" to small), last + ("j" to small - PLACEMENT_ONLY), last).distinct()
+    }
+
+    private fun later(write: Write) {
+        refused.add(desk.steady + AGAIN_MS to write)
+    }
+
+    private fun remove(key: String): Write = Write(listOf(Change(key, null)), onRefused = { later(remove(key)) }) {}
+
     private fun finalRecord(state: String, job: OpenJob): Map<String, Any?> = mapOf("s" to state, "n" to job.spec.tasks)
 
     private fun close(job: OpenJob, state: JobState) {
         job.entry.state = state
         job.entry.open = null
         openJobs.remove(job)
-        for (page in job.writtenPages.stream()) trash.add(Write(listOf(Change(pageKey(job, page), null))) {})
+        for (from in job.writtenPages.iterator()) trash.add(remove(pageKey(job, from)))
     }
 
     /** Notes that a task has completed; it is written with the next transaction that has room. */
@@ -106,6 +131,7 @@
 
     /** Accepted and cancelled jobs come first. */
     fun nextUrgent(room: StateLog.Room): Write? {
+        while (refused.isNotEmpty() && desk.steady >= refused.first().first) urgent.add(refused.removeFirst().second)
         val write = urgent.firstOrNull() ?: return null
         return if (write.fits(room)) urgent.removeFirst() else null
     }
@@ -116,7 +142,7 @@
         // Users wait for the end of a job; pages only spare a later leader some work, and can wait behind it.
         var waiting: OpenJob? = null
         for (job in openJobs) {
-            if (job.cancelling || job.sealing || job.dirtyPages.isEmpty) continue
+            if (job.cancelling || job.sealing || job.dirtyPages.isEmpty || desk.steady < job.writeAfter) continue
             if (job.complete) return sealed(job, attemptsRecorded).takeIf { it.fits(room) }?.also { job.sealing = true }
             if (waiting == null && desk.steady - job.dirtySince >= GATHER_MS) waiting = job
         }
@@ -125,7 +151,10 @@
 
     private fun sealed(job: OpenJob, recorded: (OpenJob, BitSet) -> Unit): Write {
         val done = job.done.clone() as BitSet
-        return Write(listOf(Change(JOB + job.spec.id, finalRecord("done", job)))) {
+        return Write(listOf(Change(JOB + job.spec.id, finalRecord("done", job))), onRefused = {
+            job.sealing = false
+            job.writeAfter = desk.steady + AGAIN_MS
+        }) {
             job.dirtyPages.clear()
             close(job, JobState.DONE)
             recorded(job, done)
@@ -140,13 +169,20 @@
     var onDone: (OpenJob) -> Unit = {}
 
     private fun page(job: OpenJob, recorded: (OpenJob, BitSet) -> Unit, room: StateLog.Room): Write? {
-        val page = job.dirtyPages.nextSetBit(0)
+        val page = nextPage(job)
+        if (page < 0) return null
         val from = page * pageTasks
         val slice = job.done.get(from, minOf(from + pageTasks, job.spec.tasks))
         val text = Base64.getEncoder().encodeToString(slice.toByteArray())
-        val write = Write(listOf(Change(pageKey(job, page), mapOf("b" to text)))) {
-            job.writtenPages.set(page)
-            if (job.entry.state != JobState.OPEN) trash.add(Write(listOf(Change(pageKey(job, page), null))) {})
+        val key = pageKey(job, from)
+        val write = Write(listOf(Change(key, mapOf("b" to text))), onRefused = {
+            job.dirtyPages.set(page)
+            job.writeAfter = desk.steady + AGAIN_MS
+        }) {
+            job.writtenPages.add(from)
+            job.oversized.clear(page)
+            job.rewritten.clear(page)
+            if (job.entry.state != JobState.OPEN) trash.add(remove(key))
             val done = BitSet()
             for (i in slice.stream()) done.set(from + i)
             recorded(job, done)
@@ -157,6 +193,22 @@
         return write
     }
 
+    /**
+     * The page to write next, or -1. A version with larger values wrote larger pages: what such a one holds beyond ours must be
+     * durable elsewhere before it is overwritten, so those parts go first, the highest before all.
+     */
+    private fun nextPage(job: OpenJob): Int {
+        val highest = job.rewritten.length() - 1
+        var page = job.dirtyPages.length() - 1
+        while (page >= 0) {
+            if (job.rewritten.get(page) && !(job.oversized.get(page) && page < highest)) return page
+            page = job.dirtyPages.previousSetBit(page - 1)
+        }
+        page = job.dirtyPages.nextSetBit(0)
+        while (page >= 0 && job.oversized.get(page) && page < highest) page = job.dirtyPages.nextSetBit(page + 1)
+        return page
+    }
+
     fun nextTrash(room: StateLog.Room): Write? {
         val write = trash.firstOrNull() ?: return null
         return if (write.fits(room)) trash.removeFirst() else null
@@ -165,7 +217,7 @@
     private fun Write.fits(room: StateLog.Room): Boolean =
         changes.size <= room.ops && changes.sumOf { Sizes.of(it) } <= room.bytes
 
-    private fun pageKey(job: OpenJob, page: Int): String = PROGRESS + job.spec.id + "/" + page * pageTasks
+    private fun pageKey(job: OpenJob, from: Int): String = PROGRESS + job.spec.id + "/" + from
 
     /** Takes in a row that an earlier leader wrote. */
     fun loadJob(row: Row) {
@@ -194,13 +246,23 @@
         val parts = row.key.substring(PROGRESS.length).split('/')
         val job = find(parts[0])?.open
         if (job == null) {
-            trash.add(Write(listOf(Change(row.key, null))) {})
+            trash.add(remove(row.key))
             return
         }
         val from = parts[1].toInt()
         val bits = BitSet.valueOf(Base64.getDecoder().decode(Fields.of(row.value, row.key).text("b")))
-        job.writtenPages.set(from / pageTasks)
+        job.writtenPages.add(from)
         for (i in bits.stream()) job.markDone(from + i)
+        if (from % pageTasks != 0 || bits.length() <= pageTasks) return
+        job.oversized.set(from / pageTasks)
+        var i = bits.nextSetBit(pageTasks)
+        while (i >= 0 && from + i < job.spec.tasks) {
+            val page = (from + i) / pageTasks
+            job.rewritten.set(page)
+            job.dirtyPages.set(page)
+            i = bits.nextSetBit((page + 1) * pageTasks - from)
+        }
+        job.dirtyPages.set(from / pageTasks)
     }
 
     private val cancelledJobs = HashMap<String, Lazy<OpenJob>>()
@@ -218,5 +280,7 @@
         const val JOB = "job/"
         const val PROGRESS = "prog/"
         private const val GATHER_MS = 1500L
+        private const val AGAIN_MS = 3000L
+        private val PLACEMENT_ONLY = setOf("bundle", "pullGb", "site", "dueS")
     }
 }
--- a/src/main/kotlin/org/chalkhollow/core/Settlement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Settlement.kt
@@ -58,6 +58,9 @@
         for (m in machines) onMarked(m)
     }
 
+    /** The marker that should list [attempts] cannot be written: none was sent, and their tasks are ready again. */
+    fun unmarked(attempts: List<Attempt>) = attempts.forEach(::settle)
+
     /** Frees what the attempt held: it is on no machine, and the task is ready again unless it is done. */
     private fun settle(a: Attempt) {
         if (a.settled) return
--- a/src/main/kotlin/org/chalkhollow/core/StateLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/StateLog.kt
@@ -6,13 +6,17 @@
 import org.chalkhollow.wire.Change
 import org.chalkhollow.wire.Condition
 
-/** Changes that belong into one transaction, and what to do once they are durable. */
-class Write(val changes: List<Change>, val onDurable: () -> Unit)
+/**
+ * Changes that belong into one transaction, and what to do once they are durable, or once the state service has refused them
+ * although they came alone: a hint is dropped, and what must not be lost is given again later by its source.
+ */
+class Write(val changes: List<Change>, val onRefused: () -> Unit, val onDurable: () -> Unit)
 
 /**
  * The leader's only way to write: one transaction at a time, each conditional on the stamp of the leadership record, which
  * it raises, and on the stamps of the keys it changes. So a deposed leader's late writes fail, every write renews the lease,
- * and a lost reply is resolved by looking whether the record counts one write more.
+ * and a lost reply is resolved by looking whether the record counts one write more. A transaction that the service refuses for
+ * its size, or again and again for its rate, is taken apart, down to one write each, so that no write can hold up the others.
  */
 class StateLog(
     private val desk: Desk,
@@ -41,8 +45,19 @@
     private var retryAt = 0L
     private var failingSince = -1L
 
+    /** What refused transactions were taken apart into; sent in this order before anything new. */
+    private val parts = ArrayDeque<List<Write>>()
+
+    /** Most changes beside the record, as far as refusals tell; grows again with every transaction that is taken. */
+    private var learnedOps = Int.MAX_VALUE
+    private var retryPartsAt = 0L
+    private var complainedAt = Long.MIN_VALUE / 2
+
     private class Batch(val writes: List<Write>, val op: StateOp.Commit, val firstSentAt: Long) {
         var uncertain = false
+
+        /** How often in a row it was not executed for want of service or rate. */
+        var unavailable = 0
     }
 
     fun source(source: Source) {
@@ -63,6 +78,9 @@
         term++
         active = false
         batch = null
+        parts.clear()
+        retryPartsAt = 0
+        learnedOps = Int.MAX_VALUE
         stamps.clear()
         failingSince = -1
         retryAt = 0
@@ -97,7 +115,14 @@
         if (tokens < if (renewalDue) 1.0 else 2.0) return
         // Each transaction costs a write for the record. When writes are scarce, a few are gathered for each.
         if (!renewalDue && tokens < budget() / 2 && desk.steady - lastSentAt < SPACING_MS) return
-        val room = Room(minOf(limits.txnOps - 1, tokens.toInt() - 1), TXN_BYTES)
+        val part = parts.firstOrNull()
+        if (part != null) {
+            if (desk.steady < retryPartsAt) return
+            // Its changes were paid for once; a renewal must not wait until they are paid for again.
+            if (tokens >= part.sumOf { it.changes.size } + 1) send(compose(parts.removeFirst())) else if (renewalDue) send(compose(emptyList()))
+            return
+        }
+        val room = Room(minOf(limits.txnOps - 1, tokens.toInt() - 1, learnedOps), TXN_BYTES)
         val writes = ArrayList<Write>()
         for (source in sources) {
             while (room.ops > 0) {
@@ -111,6 +136,7 @@
         send(compose(writes))
     }
 
+    /** Every transaction counts one more in the record, also in place of a refused one: a late copy of that is told from it. */
     private fun compose(writes: List<Write>): Batch {
         record = record.copy(writes = record.writes + 1)
         val conditions = ArrayList<Condition>()
@@ -143,18 +169,46 @@
                 failed(sentAt)
                 again(b, 0)
             }
-            is StateReply.Rejected -> {
-                desk.emit(Effect.Note(Effect.Level.ERROR, "the state service rejects a transaction: ${reply.why}"))
-                failed()
-                again(b, RETRY_MS * 4)
-            }
+            is StateReply.Rejected -> rejected(b, reply.why)
             else -> {
                 failed()
-                again(b, RETRY_MS)
+                b.unavailable++
+                if (b.unavailable % TAKE_APART_AFTER == 0 && b.writes.size > 1 && !b.uncertain) {
+                    // It may ask for more at once than the service's rate allows in a burst.
+                    retryPartsAt = desk.steady + RETRY_MS
+                    takeApart(b, maxOf(1, b.writes.size / 4))
+                } else {
+                    again(b, if (b.unavailable > TAKE_APART_AFTER) RETRY_MS * 2 else RETRY_MS)
+                }
             }
         }
     }
 
+    /** Refused for what it is. An earlier sending without an answer may have been taken all the same, which the record tells. */
+    private fun rejected(b: Batch, why: String) {
+        if (desk.steady - complainedAt >= COMPLAIN_MS) {
+            complainedAt = desk.steady
+            val keys = b.writes.flatMap { it.changes }.take(3).joinToString { it.key }
+            desk.emit(Effect.Note(Effect.Level.ERROR, "the state service refuses a transaction of ${b.op.changes.size} changes ($keys): $why"))
+        }
+        if (b.uncertain) return lookAtRecord(b, why)
+        if (b.writes.isEmpty()) {
+            failed()
+            return again(b, RETRY_MS * 4)
+        }
+        if (b.writes.size > 1 || b.op.changes.size > 2) learnedOps = maxOf(1, (b.op.changes.size - 1) / 2)
+        if (b.writes.size > 1) return takeApart(b, (b.writes.size + 1) / 2)
+        batch = null
+        b.writes.single().onRefused()
+        pump()
+    }
+
+    private fun takeApart(b: Batch, size: Int) {
+        batch = null
+        for (part in b.writes.chunked(size).asReversed()) parts.addFirst(part)
+        pump()
+    }
+
     private fun again(b: Batch, afterMs: Long) {
         retryAt = desk.steady + afterMs
         tokens = maxOf(0.0, tokens - b.op.changes.size) // a failing transaction counts as well
@@ -167,7 +221,7 @@
     }
 
     /** The conditions did not hold: either an earlier sending of the same transaction was applied, or someone else leads. */
-    private fun lookAtRecord(b: Batch) {
+    private fun lookAtRecord(b: Batch, rejection: String? = null) {
         val inTerm = term
         desk.state(StateOp.Read(LeadRecord.KEY)) { reply ->
             if (term != inTerm) return@state
@@ -175,7 +229,11 @@
                 is StateReply.Found -> {
                     val stands = LeadRecord.of(reply.row)
                     if (stands == record) committed(b, reply.row.stamp, b.firstSentAt)
-                    else leadership.depose("generation ${stands.generation} of ${stands.owner} stands")
+                    else if (rejection != null && reply.row.stamp == recordStamp) {
+                        // Should the earlier sending be carried out yet, the next transaction's conditions fail, and we begin anew.
+                        b.uncertain = false
+                        rejected(b, rejection)
+                    } else leadership.depose("generation ${stands.generation} of ${stands.owner} stands")
                 }
                 StateReply.Missing -> leadership.depose("the leadership record is gone")
                 else -> {
@@ -190,6 +248,7 @@
         batch = null
         retryAt = 0
         failingSince = -1
+        if (learnedOps < limits.txnOps) learnedOps++
         recordStamp = revision
         for (change in b.op.changes) {
             if (change.value == null) stamps.removeLong(change.key) else stamps.put(change.key, revision)
@@ -212,6 +271,8 @@
         const val SPACING_MS = 120L
         const val STALL_MS = 1000L
         const val TXN_BYTES = 40 * 1024
+        const val TAKE_APART_AFTER = 3
+        const val COMPLAIN_MS = 10_000L
     }
 }
 
--- a/src/test/kotlin/org/chalkhollow/core/SettlementTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/SettlementTest.kt
@@ -20,7 +20,7 @@
 
     private fun job(id: String): OpenJob {
         val spec = JobSpec(id, "w", "t", Shape.ARRAY, Priority.STANDARD, 10, Resources(1.0, 0.0, 1.0), "i", 1.0, null, null, false, false, true, 5.0, 0.0, 0.0, null)
-        jobs.accept(spec) {}
+        jobs.accept(spec, refused = {}) {}
         jobs.nextUrgent(StateLog.Room(10, 10_000))?.onDurable?.invoke()
         return checkNotNull(jobs.find(id)?.open)
     }
