--- a/src/main/kotlin/org/chalkhollow/StatusCommand.kt
+++ b/src/main/kotlin/org/chalkhollow/StatusCommand.kt
@@ -27,7 +27,7 @@
         val text = fetch(if (id == null) "/ops/status" else "/ops/jobs/$id") ?: throw CliktError("$address does not know ${id ?: "of this"}", statusCode = UNKNOWN)
         if (json) return echo(text)
         try {
-            if (id == null) show(Json.decodeFromString(StatusView.serializer(), text)) else show(Json.decodeFromString(JobView.serializer(), text))
+            if (id == null) show(LENIENT.decodeFromString(StatusView.serializer(), text)) else show(LENIENT.decodeFromString(JobView.serializer(), text))
         } catch (e: SerializationException) {
             throw CliktError("$address is no controller of this version", statusCode = UNREACHABLE)
         }
@@ -51,6 +51,12 @@
 
     private fun show(s: StatusView) {
         echo("${s.label}: ${if (s.leads) "leads" else "follows ${s.leader ?: "nobody it has heard of lately"}"}, generation ${s.generation}")
+        if (s.controllers.isNotEmpty()) echo("versions: " + s.controllers.joinToString { "${it.label} ${it.version ?: "not known"}" })
+        if (!s.allNew) {
+            val newest = s.controllers.maxOfOrNull { it.version ?: 0 } ?: 0
+            val waits = s.controllers.filter { (it.version ?: -1) < newest }.map { it.label }
+            if (waits.isNotEmpty()) echo("an upgrade to $newest waits for: ${waits.joinToString()}")
+        }
         if (!s.leads) return
         if (!s.ready) return echo("still rebuilding its view")
         echo("jobs: ${s.jobsOpen} open of ${s.jobsKnown} known")
@@ -67,6 +73,8 @@
     }
 
     private companion object {
+        /** A controller of a newer version may tell more. */
+        val LENIENT = Json { ignoreUnknownKeys = true }
         const val TIMEOUT_MS = 3000
         const val UNREACHABLE = 1
         const val UNKNOWN = 3
--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -59,8 +59,9 @@
         log.source(jobs::nextTrash)
     }
 
+    private val versions = Versions(settings.label, peerLabels)
     private val overview =
-        Overview(desk, settings.label, peerLabels, settings.teams, leadership, jobs, quotas, fleet, placement, names, log)
+        Overview(desk, settings.label, peerLabels, settings.teams, leadership, jobs, quotas, fleet, placement, names, log, versions)
 
     /** For operators; changes nothing. */
     fun status(now: Now): StatusView {
@@ -75,9 +76,17 @@
     }
 
     /** For gauges. */
-    val view: View get() = View(leadership.entitled(), leadership.generation, jobs.open.size, jobs.size, fleet.machines.size)
-
-    data class View(val leading: Boolean, val generation: Long, val openJobs: Int, val jobs: Int, val machines: Int)
+    val view: View get() = View(leadership.entitled(), leadership.generation, jobs.open.size, jobs.size, fleet.machines.size, versions.all)
+
+    /** Numbers for gauges, and which version each controller runs as far as known. */
+    data class View(
+        val leading: Boolean,
+        val generation: Long,
+        val openJobs: Int,
+        val jobs: Int,
+        val machines: Int,
+        val versions: Map<String, Int?> = emptyMap(),
+    )
 
     /** Whether this controller is entitled to act for all at this moment. */
     fun leads(now: Now): Boolean {
@@ -155,6 +164,7 @@
 
     private fun onPeer(input: Input.Peer) {
         when (val m = input.message) {
+            is PeerMessage.Hello -> versions.greeted(input.from, m)
             is PeerMessage.Forward -> door.onForward(input.from, m)
             is PeerMessage.Forwarded -> door.onForwarded(m)
             else -> leadership.onPeer(input.from, m)
--- a/src/main/kotlin/org/chalkhollow/core/Overview.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Overview.kt
@@ -16,14 +16,19 @@
     private val placement: Placement,
     private val names: Names,
     private val log: StateLog,
+    private val versions: Versions,
 ) {
     fun status(ready: Boolean): StatusView {
         val leads = leadership.entitled()
         val leader = if (leads) label else leadership.reachableLeader().takeIf { it >= 0 }?.let(peers::get)
-        if (!leads || !ready) return StatusView(label, leads, leader, leadership.generation, ready && leads)
+        val controllers = versions.all.map { (name, version) -> ControllerView(name, version) }
+        if (!leads || !ready) {
+            return StatusView(label, leads, leader, leadership.generation, ready && leads, controllers = controllers, allNew = versions.allNew)
+        }
         return StatusView(
             label, true, leader, leadership.generation, true, jobs.size, jobs.open.size, classes(),
             teams.mapIndexed { i, t -> TeamView(t.name, quotas.cpusOf(i), t.cpus, t.cpusMax) }, machines(),
+            controllers, versions.allNew,
         )
     }
 
--- a/src/main/kotlin/org/chalkhollow/core/StatusView.kt
+++ b/src/main/kotlin/org/chalkhollow/core/StatusView.kt
@@ -15,8 +15,15 @@
     val classes: List<ClassView> = emptyList(),
     val teams: List<TeamView> = emptyList(),
     val machines: List<MachineView> = emptyList(),
+    val controllers: List<ControllerView> = emptyList(),
+    /** Whether every controller is known to run this one's version or a newer one, so that no upgrade is under way. */
+    val allNew: Boolean = false,
 )
 
+/** The version that one controller runs; null when it has not told this one yet. */
+@Serializable
+data class ControllerView(val label: String, val version: Int?)
+
 /** The open jobs of one class. */
 @Serializable
 data class ClassView(val name: String, val jobs: Int, val tasksReady: Int, val tasksLive: Int, val oldestS: Long)
--- a/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
@@ -28,7 +28,7 @@
     dropped: DroppedFrames,
     receive: (Int, PeerMessage) -> Unit,
 ) {
-    private val listener = PeerListener(peers.map { it.label }, dropped, receive)
+    private val listener = PeerListener(peers.map { it.label }, dropped, receive, receive)
     private val queues = peers.map { Channel<PeerMessage>(QUEUE, BufferOverflow.DROP_OLDEST) }
 
     fun send(peer: Int, message: PeerMessage) {
--- a/src/main/kotlin/org/chalkhollow/mesh/PeerListener.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/PeerListener.kt
@@ -14,6 +14,7 @@
 class PeerListener(
     private val labels: List<String>,
     private val dropped: DroppedFrames,
+    private val greeted: (Int, PeerMessage.Hello) -> Unit = { _, _ -> },
     private val receive: (Int, PeerMessage) -> Unit,
 ) {
     /**
@@ -30,8 +31,10 @@
                 is Frame.Newer -> dropped.newer(labels.getOrNull(peer), frame.kind)
                 is Frame.Known -> {
                     val message = frame.message
-                    if (message is PeerMessage.Hello) peer = labels.indexOf(message.label)
-                    else if (peer >= 0) receive(peer, message)
+                    if (message is PeerMessage.Hello) {
+                        peer = labels.indexOf(message.label)
+                        if (peer >= 0) greeted(peer, message)
+                    } else if (peer >= 0) receive(peer, message)
                     else return dropped.malformed(null, "a message from nobody that is known")
                 }
             }
--- a/src/main/kotlin/org/chalkhollow/mesh/PeerMessage.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/PeerMessage.kt
@@ -6,10 +6,10 @@
 /** What controllers say to each other; every message is one CBOR frame. */
 @Serializable
 sealed interface PeerMessage {
-    /** The first frame on a connection: who is calling, and which life of it. */
+    /** The first frame on a connection: who is calling, which life of it, and which [VERSION]; 0 are those that did not tell. */
     @Serializable
     @SerialName("hello")
-    data class Hello(val label: String, val incarnation: Long) : PeerMessage
+    data class Hello(val label: String, val incarnation: Long, val version: Int = 0) : PeerMessage
 
     /** The leader of [generation] asks for a promise not to stand against it for a while; also its heartbeat. */
     @Serializable
@@ -54,4 +54,9 @@
     @Serializable
     @SerialName("forwarded")
     class Forwarded(val seq: Long, val status: Int, val body: ByteArray, val retryAfterS: Int) : PeerMessage
+
+    companion object {
+        /** Raised when what controllers write or say changes; see docs/compatibility.md. */
+        const val VERSION = 1
+    }
 }
--- a/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
@@ -53,6 +53,7 @@
         appendLine("chalkhollow_jobs_open ${view.openJobs}")
         appendLine("chalkhollow_jobs_known ${view.jobs}")
         appendLine("chalkhollow_machines ${view.machines}")
+        for ((label, version) in view.versions) if (version != null) appendLine("chalkhollow_version{controller=\"$label\"} $version")
         for ((kind, h) in histograms) {
             for (q in QUANTILES) appendLine("chalkhollow_micros{kind=\"$kind\",quantile=\"$q\"} ${h.getValueAtPercentile(q * 100)}")
             appendLine("chalkhollow_micros_count{kind=\"$kind\"} ${h.totalCount}")
--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -50,7 +50,7 @@
     private val workerLinks: WorkerLinks = WorkerLinks(scope, loop, settings.maxConnections - spareSockets) { server.connected }
     private val workers = WorkerClient(workerLinks::to)
     private val mesh = MeshNode(
-        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation), FrameComplaints(log, meters),
+        scope, selector, settings.meshAddress, settings.peers, PeerMessage.Hello(settings.label, incarnation, PeerMessage.VERSION), FrameComplaints(log, meters),
     ) { from, message -> feed(Input.Peer(from, message)) }
     private val server: HttpServer = HttpServer(
         scope, loop, settings.clientListen, maxOf(8, settings.maxConnections * 8 / 10 - spareSockets), { steady() }, { workerLinks.trim(1) }, ::handle,
--- a/src/main/kotlin/org/chalkhollow/runtime/WarmUp.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/WarmUp.kt
@@ -51,7 +51,7 @@
     }
 
     private fun messages(): List<PeerMessage> = listOf(
-        PeerMessage.Hello("a", 1), PeerMessage.PromiseAsk(1, 1, true), PeerMessage.Promise(1, 1, true, true),
+        PeerMessage.Hello("a", 1, PeerMessage.VERSION), PeerMessage.PromiseAsk(1, 1, true), PeerMessage.Promise(1, 1, true, true),
         PeerMessage.VoteAsk(1, 1, 1), PeerMessage.Vote(1, 1, true),
         PeerMessage.Forward(1, 1, "j-1", ByteArray(8)), PeerMessage.Forwarded(1, 200, ByteArray(8), 0),
     )
--- a/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
@@ -320,6 +320,20 @@
         assertEquals(1, completed)
     }
 
+    @Test
+    fun `an upgrade is over once every peer has told a version as new as ours`() {
+        val versions = Versions("a", listOf("b", "c"))
+        assertFalse(versions.allNew)
+        versions.greeted(0, PeerMessage.Hello("b", 1, PeerMessage.VERSION))
+        versions.greeted(1, PeerMessage.Hello("c", 1))
+        assertFalse(versions.allNew)
+        assertEquals(mapOf("a" to PeerMessage.VERSION, "b" to PeerMessage.VERSION, "c" to 0), versions.all)
+        versions.greeted(1, PeerMessage.Hello("c", 2, PeerMessage.VERSION + 1))
+        assertTrue(versions.allNew)
+        versions.greeted(0, PeerMessage.Hello("b", 3))
+        assertFalse(versions.allNew)
+    }
+
     @Test
     fun `a controller that led before its restart takes over at once with a new generation`() {
         val b = Bench(2)
--- a/src/test/kotlin/org/chalkhollow/mesh/PeerListenerTest.kt
+++ b/src/test/kotlin/org/chalkhollow/mesh/PeerListenerTest.kt
@@ -75,6 +75,21 @@
         assertEquals(0, dropped.newer.size + dropped.malformed.size)
     }
 
+    @Test
+    fun `a greeting tells the version, which is 0 for those that did not know of it`() {
+        val greetings = ArrayList<Pair<Int, Int>>()
+        val frames = listOf(PeerMessage.Hello("b", 1), PeerMessage.Hello("a", 2, PeerMessage.VERSION), PeerMessage.Hello("stranger", 3, 9)).map(Frames::encode)
+        val bytes = frames.fold(byteArrayOf()) { all, f -> all + ByteBuffer.allocate(4).putInt(f.size).array() + f }
+        runBlocking {
+            try {
+                PeerListener(listOf("a", "b"), dropped, { peer, h -> greetings.add(peer to h.version) }) { _, _ -> }.hear(ByteReadChannel(bytes))
+            } catch (e: EOFException) {
+                // The connection ended.
+            }
+        }
+        assertEquals(listOf(1 to 0, 0 to PeerMessage.VERSION), greetings)
+    }
+
     @Test
     fun `a malformed frame is dropped and told, and the next one is heard`() {
         hear(hello, byteArrayOf(0x42), release.copyOf(release.size - 3), byteArrayOf(0x9f.toByte(), 0x67), release)
