--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/compat/CompatTest.kt
@@ -0,0 +1,175 @@
+package org.chalkhollow.compat
+
+import org.chalkhollow.core.BaseFleet
+import org.chalkhollow.core.Desk
+import org.chalkhollow.core.DispatchLog
+import org.chalkhollow.core.JobTable
+import org.chalkhollow.core.LeadRecord
+import org.chalkhollow.core.Names
+import org.chalkhollow.mesh.Frames
+import org.chalkhollow.mesh.PeerMessage
+import org.chalkhollow.model.JobState
+import org.chalkhollow.settings.StateLimits
+import org.chalkhollow.wire.Fields
+import org.chalkhollow.wire.Pack
+import org.chalkhollow.wire.Row
+import org.chalkhollow.wire.UserCodec
+import org.junit.jupiter.api.Assertions.assertArrayEquals
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Path
+import java.util.Base64
+import java.util.BitSet
+
+/** This version and the one in production, each reading what the other writes and says. */
+class CompatTest {
+    private val limits = StateLimits(80.0, 20.0, 4096, 8)
+    private val recorded = Recording.kept(PRODUCTION)
+
+    private fun records(prefix: String) = recorded.filter { it.of == "state" && it.name.startsWith(prefix) }.also { assertTrue(it.isNotEmpty(), "no $prefix") }
+
+    private fun row(line: Recording.Line) = Row(line.name, Pack.decode(line.bytes), 1)
+
+    private fun fields(line: Recording.Line) = Pack.decodeMap(line.bytes)
+
+    @Test
+    fun `production's recording has every kind of record and message`() {
+        assertEquals(
+            setOf("job open batch", "job open group", "job open service", "job done ", "job cancelled batch", "prog", "mark", "ch", "fleet/base", "fleet/images"),
+            recorded.filter { it.of == "state" }.map { Recording.kind(it.name, it.bytes) }.toSet(),
+        )
+        assertEquals(
+            setOf("Hello", "PromiseAsk", "Promise", "Release", "VoteAsk", "Vote", "Forward", "Forwarded"),
+            recorded.filter { it.of == "peer" }.map { it.name }.toSet(),
+        )
+    }
+
+    @Test
+    fun `production's jobs are read as they were written`() {
+        val names = Names().apply { listOf("red", "blue").forEach(teams::intern) }
+        val jobs = JobTable(Desk(1), names, limits)
+        for (line in records(JobTable.JOB)) {
+            jobs.loadJob(row(line))
+            val f = fields(line)
+            val entry = checkNotNull(jobs.find(line.name.removePrefix(JobTable.JOB)))
+            val expected = mapOf("open" to JobState.OPEN, "done" to JobState.DONE, "cancelled" to JobState.CANCELLED).getValue(f.text("s"))
+            assertEquals(expected, entry.state, line.name)
+            if (expected != JobState.OPEN) assertEquals(f.long("n").toInt(), entry.tasks)
+            val described = f.map["j"] ?: continue
+            val spec = checkNotNull(jobs.marked(line.name.removePrefix(JobTable.JOB))).spec
+            assertArrayEquals(Pack.encode(described), Pack.encode(UserCodec.map(spec)), line.name)
+            if (expected == JobState.OPEN) assertEquals(f.long("at"), entry.open?.acceptedWall)
+        }
+    }
+
+    @Test
+    fun `production's pages count for the tasks that they name, also where ours are smaller`() {
+        for (line in records(JobTable.PROGRESS)) {
+            val (id, from) = line.name.removePrefix(JobTable.PROGRESS).split('/')
+            val bits = BitSet.valueOf(Base64.getDecoder().decode(fields(line).text("b")))
+            val job = Pack.decodeMap(records(JobTable.JOB).first { Recording.kind(it.name, it.bytes) == "job open batch" }.bytes)
+            val spec = Fields.of(job.map["j"], "j").map + mapOf("nameId" to id, "pieces" to 100_000)
+            val jobs = JobTable(Desk(1), Names(), limits.copy(valueBytes = 1024))
+            jobs.loadJob(Row(JobTable.JOB + id, Pack.decode(Pack.encode(mapOf("s" to "open", "at" to 5L, "j" to spec))), 1))
+            jobs.loadPage(row(line))
+            val done = checkNotNull(jobs.find(id)?.open).done
+            assertEquals(bits.stream().map { it + from.toInt() }.toArray().toList(), done.stream().toArray().toList())
+        }
+    }
+
+    @Test
+    fun `production's leadership record, markers and machines are read as they were written`() {
+        for (line in records(LeadRecord.KEY)) {
+            val f = fields(line)
+            val lead = LeadRecord.of(row(line))
+            assertEquals(LeadRecord(f.text("owner"), f.long("life"), f.long("generation"), f.long("writes")), lead)
+            assertArrayEquals(line.bytes, Pack.encode(lead.value()))
+        }
+        for (line in records(DispatchLog.MARK)) for (item in fields(line).list("a")) {
+            val ranges = (item as List<*>)[2].toString()
+            assertEquals(ranges, DispatchLog.ranges(DispatchLog.indices(ranges).toIntArray()))
+        }
+        for (line in records(BaseFleet.KEY)) {
+            val base = BaseFleet(Desk(1), limits).also { it.load(row(line)) }
+            assertEquals(fields(line).texts("names").toSet(), base.names)
+            assertTrue(base.known)
+        }
+    }
+
+    @Test
+    fun `production's messages are read and would be said in the same bytes`() {
+        for (line in recorded.filter { it.of == "peer" }) {
+            val message = checkNotNull(Frames.decode(line.bytes)) { line.name }
+            assertEquals(line.name, message.javaClass.simpleName)
+            assertArrayEquals(line.bytes, Frames.encode(message), line.name)
+            if (message is PeerMessage.Hello) assertEquals(0, message.version)
+        }
+    }
+
+    @Test
+    fun `production's own recording is within what it reads`() {
+        for (line in recorded) assertNull(if (line.of == "peer") ProductionForm.frame(line.bytes) else ProductionForm.record(line.name, line.bytes))
+    }
+
+    @Test
+    fun `all that this version writes and says on a day is within what production reads`() {
+        val foreign = sortedSetOf<String>()
+        var writes = 0
+        var frames = 0
+        for (seed in 31L..33L) Recording.day(
+            seed,
+            { key, bytes ->
+                writes++
+                ProductionForm.record(key, bytes)?.let(foreign::add)
+            },
+            { frame ->
+                frames++
+                ProductionForm.frame(frame)?.let(foreign::add)
+            },
+        )
+        assertEquals(emptySet<String>(), foreign)
+        assertTrue(writes > 1000 && frames > 1000, "$writes writes, $frames frames")
+        assertNull(ProductionForm.frame(Frames.encode(PeerMessage.Hello("b", 1, PeerMessage.VERSION))))
+    }
+
+    @Test
+    fun `a form that production does not read is found`() {
+        fun foreign(key: String, value: Map<String, Any?>) = assertNotNull(ProductionForm.record(key, Pack.encode(value)), "$key $value")
+        val lead = mapOf("owner" to "a", "life" to 1L, "generation" to 1L, "writes" to 0L)
+        assertNull(ProductionForm.record("ch/lead", Pack.encode(lead)))
+        foreign("ch/lead", lead - "writes")
+        foreign("ch/lead", lead + ("version" to 1L))
+        foreign("ch/lead", lead + ("life" to "x"))
+        foreign("ch/other", lead)
+        foreign("job/j-1", mapOf("s" to "paused", "n" to 3L))
+        foreign("job/j-1", mapOf("s" to "done", "n" to "3"))
+        foreign("prog/j-1", mapOf("b" to "AA=="))
+        foreign("prog/j-1/0", mapOf("r" to "0-3"))
+        foreign("mark/000000000001/1", mapOf("n" to 65537L, "a" to listOf(listOf("j-1", "n-1", "0-3", 2L))))
+        foreign("fleet/spares", mapOf("names" to listOf("n-1")))
+        foreign("fleet/images/0", mapOf("images" to listOf("i"), "held" to mapOf("n-1" to "i")))
+        val open = records(JobTable.JOB).first { fields(it).text("s") == "open" }
+        val spec = Fields.of(fields(open).map["j"], "j").map
+        for (change in listOf("shape" to "stream", "urgency" to "someday", "pieces" to 0L, "colour" to "blue", "flavours" to "g8")) {
+            foreign(open.name, fields(open).map + ("j" to spec + change))
+        }
+        assertNotNull(ProductionForm.frame(Frames.encode(PeerMessage.Forward(1, 4, "j-1", ByteArray(0)))))
+        assertNotNull(ProductionForm.frame(NewMessages.gossip()))
+        assertNotNull(ProductionForm.frame(NewMessages.releaseWithReason()))
+    }
+
+    @Test
+    fun `what this version writes and says is recorded for the next one`() {
+        val path = Path.of("target/compat/recorded.txt")
+        Recording.record(21, path)
+        assertTrue(path.toFile().readLines().size > 30)
+    }
+
+    private companion object {
+        /** The recording of the version in production. */
+        const val PRODUCTION = "version-0"
+    }
+}
--- a/src/test/kotlin/org/chalkhollow/rehearsal/NodeStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/NodeStand.kt
@@ -83,6 +83,7 @@
             is Effect.Send -> {
                 val to = rehearsal.peerOf(label, e.peer)
                 val frame = Frames.encode(e.message)
+                rehearsal.onFrame(frame)
                 rehearsal.network.send(label, to.label) { to.peer(rehearsal.indexAt(to.label, label), frame) }
             }
             is Effect.Timer -> {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
@@ -54,6 +54,9 @@
     val users = Users(this)
     val rules = Rules(this)
 
+    /** Told of every frame between controllers. */
+    var onFrame: (ByteArray) -> Unit = {}
+
     private fun settingsOf(label: String, leaseS: Double, factor: Double) = PlatformSettings(
         label = label, location = "east", clientListen = Address("127.0.0.1", 1), meshAddress = Address("127.0.0.1", 2),
         peers = labels.filter { it != label }.map { Peer(it, Address("127.0.0.1", 3)) },
--- a/src/test/kotlin/org/chalkhollow/rehearsal/StateStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/StateStand.kt
@@ -21,6 +21,9 @@
     var ignoresConditions = false
     val size: Int get() = keys.size
 
+    /** Told of every value that a transaction wants to store, and of null for a removal. */
+    var onWrite: (String, ByteArray?) -> Unit = { _, _ -> }
+
     fun outage(forMs: Long) {
         outageUntil = world.time + forMs
     }
@@ -94,6 +97,7 @@
     private fun commit(op: StateOp.Commit): StateReply {
         check(op.changes.size <= limits.txnOps) { "${op.changes.size} changes in a transaction" }
         check(op.conditions.size <= limits.txnOps * 4) { "${op.conditions.size} conditions in a transaction" }
+        for (c in op.changes) onWrite(c.key, c.value?.let(Pack::encode))
         val failed = op.conditions.filter { (keys[it.key]?.stamp ?: 0L) != it.stamp }.map { it.key }
         if (failed.isNotEmpty() && !ignoresConditions) return StateReply.Conflict(failed)
         revision++
