--- a/src/test/kotlin/org/chalkhollow/rehearsal/NodeStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/NodeStand.kt
@@ -8,12 +8,13 @@
 import org.chalkhollow.core.StatusView
 import org.chalkhollow.core.UserAsk
 import org.chalkhollow.mesh.Frames
+import org.chalkhollow.mesh.PeerMessage
 import org.chalkhollow.settings.OperatorSettings
 import org.chalkhollow.settings.PlatformSettings
 import org.chalkhollow.wire.ReportReader
 
 /** One controller process: the real state machine, with a clock of its own, that can be killed and started again. */
-class NodeStand(private val rehearsal: Rehearsal, val label: String, private val settings: PlatformSettings, private val options: OperatorSettings) {
+class NodeStand(private val rehearsal: Rehearsal, val label: String, private var settings: PlatformSettings, private val options: OperatorSettings) {
     private val world = rehearsal.world
     private val drift = 1.0 + world.random.nextDouble() * 0.0005
     private val offset = world.between(0, 1_000_000)
@@ -34,12 +35,28 @@
 
     private fun now() = Now(offset + (world.time * drift).toLong(), 1_700_000_000_000 + world.time + skew)
 
+    /** The version that this process runs, as it tells the others. */
+    var version = 0
+        private set
+
+    /** What is started from now on is the new version, under [settings]. */
+    fun upgrade(settings: PlatformSettings) {
+        this.settings = settings
+        version = PeerMessage.VERSION
+    }
+
+    /** Hears who calls, as with every new connection. */
+    fun greet(from: Int, label: String, version: Int) {
+        if (alive) feed(Input.Peer(from, checkNotNull(Frames.decode(Frames.encode(PeerMessage.Hello(label, 1, version))) as? PeerMessage.Hello)))
+    }
+
     fun start() {
         if (alive) return
         life++
         reports = ReportReader()
         controller = Controller(settings, options, world.random.nextLong(1, Long.MAX_VALUE), now())
         feed(Input.Tick)
+        rehearsal.onStart(this)
     }
 
     fun crash() {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rehearsal.kt
@@ -54,9 +54,16 @@
     val users = Users(this)
     val rules = Rules(this)
 
+    /** Told of every start of a controller. */
+    var onStart: (NodeStand) -> Unit = {}
+
     /** Told of every frame between controllers. */
     var onFrame: (ByteArray) -> Unit = {}
 
+    /** The settings of [label] when the state service is to have the limits [next]. */
+    fun settingsWith(label: String, next: StateLimits): PlatformSettings =
+        settingsOf(label, settings.leaseS, 1.0).let { it.copy(stateLimits = stateLimits.within(next), stateLimitsNow = stateLimits) }
+
     private fun settingsOf(label: String, leaseS: Double, factor: Double) = PlatformSettings(
         label = label, location = "east", clientListen = Address("127.0.0.1", 1), meshAddress = Address("127.0.0.1", 2),
         peers = labels.filter { it != label }.map { Peer(it, Address("127.0.0.1", 3)) },
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/RollingUpgrade.kt
@@ -0,0 +1,56 @@
+package org.chalkhollow.rehearsal
+
+import org.chalkhollow.settings.StateLimits
+
+/**
+ * Controllers that begin as the version in production, which keeps within the old limits, are killed [atOnce] at a time and
+ * come back keeping within [next]; one that dies before its turn comes back as it was. Some time after the last, the state
+ * service has the limits [then].
+ */
+class RollingUpgrade(private val r: Rehearsal, private val next: StateLimits, private val atOnce: Int, private val then: StateLimits = next) {
+    private val world = r.world
+
+    /** When all controllers ran the new version, and when the limits were lowered. */
+    var allNewAt = Long.MAX_VALUE
+        private set
+    var loweredAt = Long.MAX_VALUE
+        private set
+
+    init {
+        r.onStart = ::greetings
+    }
+
+    /** Whoever starts connects to all that run, and they to it. */
+    private fun greetings(node: NodeStand) {
+        for (other in r.nodes) {
+            if (other === node || !other.alive) continue
+            other.greet(r.indexAt(other.label, node.label), node.label, node.version)
+            node.greet(r.indexAt(node.label, other.label), other.label, other.version)
+        }
+    }
+
+    fun begin(fromMs: Long) {
+        val order = r.nodes.sortedBy { world.random.nextInt() }.chunked(atOnce)
+        var at = fromMs
+        for (group in order) {
+            world.after(at) { group.forEach(::replace) }
+            at += world.between(9000, 20_000)
+        }
+        world.after(at) { awaitNew() }
+    }
+
+    private fun replace(node: NodeStand) {
+        node.crash()
+        node.upgrade(r.settingsWith(node.label, next))
+        world.after(world.between(4000, 8000)) { node.start() }
+    }
+
+    private fun awaitNew() {
+        if (r.nodes.any { !it.alive }) return world.after(200) { awaitNew() }
+        allNewAt = world.time
+        world.after(world.between(100, 15_000)) {
+            r.state.lowered = then
+            loweredAt = world.time
+        }
+    }
+}
--- a/src/test/kotlin/org/chalkhollow/rehearsal/StateStand.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/StateStand.kt
@@ -21,6 +21,43 @@
     var ignoresConditions = false
     val size: Int get() = keys.size
 
+    /** Limits that hold from now on, in the way of the real service: what is beyond them is refused and not a fault of the test. */
+    var lowered: StateLimits? = null
+        set(value) {
+            field = value
+            tokens = value?.writeRps ?: 0.0
+            refilledAt = world.time
+        }
+
+    /** How many transactions were refused for their size and for the rate since the limits were [lowered]. */
+    var rejections = 0
+        private set
+    var throttled = 0
+        private set
+    private var tokens = 0.0
+    private var refilledAt = 0L
+
+    /** What is stored under [prefix]. */
+    fun stored(prefix: String): Map<String, Any?> = keys.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.associate { it.key to it.value.value }
+
+    /** What the [lowered] limits say to [op]; null when it is within them. */
+    private fun beyondLowered(op: StateOp.Commit): StateReply? {
+        val now = lowered ?: return null
+        val large = op.changes.firstOrNull { c -> (c.value?.let { Pack.encode(it).size } ?: 0) > now.valueBytes }
+        if (large != null || op.changes.size > now.txnOps || op.conditions.size > now.txnOps * 4) {
+            rejections++
+            return StateReply.Rejected(if (large != null) "value of ${large.key} is too large" else "too many changes")
+        }
+        tokens = minOf(now.writeRps, tokens + (world.time - refilledAt) * now.writeRps / 1000)
+        refilledAt = world.time
+        if (tokens < op.changes.size) {
+            throttled++
+            return StateReply.Unavailable
+        }
+        tokens -= op.changes.size
+        return null
+    }
+
     /** Told of every value that a transaction wants to store, and of null for a removal. */
     var onWrite: (String, ByteArray?) -> Unit = { _, _ -> }
 
@@ -95,6 +132,7 @@
     }
 
     private fun commit(op: StateOp.Commit): StateReply {
+        beyondLowered(op)?.let { return it }
         check(op.changes.size <= limits.txnOps) { "${op.changes.size} changes in a transaction" }
         check(op.conditions.size <= limits.txnOps * 4) { "${op.conditions.size} conditions in a transaction" }
         for (c in op.changes) onWrite(c.key, c.value?.let(Pack::encode))
