--- a/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/DispatchLog.kt
@@ -81,9 +81,10 @@
         seal()
         if (changes.isEmpty()) return null
         return Write(changes, onRefused = {
-            mostBytes = maxOf(LEAST_BYTES, mostBytes / 2)
+            if (changes.size == 1) mostBytes = maxOf(LEAST_BYTES, mostBytes / 2) // else there were too many
             settlement.unmarked(attempts)
         }) {
+            if (mostBytes < limits.valueBytes) mostBytes = minOf(limits.valueBytes, mostBytes + mostBytes / 16)
             for (m in markers) m.durable = true
             settlement.marked(attempts)
         }
--- a/src/main/kotlin/org/chalkhollow/core/Door.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Door.kt
@@ -176,14 +176,17 @@
             passed.remove(seq)
             later(p.call)
         }
-        if (log.stalled()) for (map in listOf(accepting, cancelling, finishing)) turnAway(map)
+        for (map in listOf(accepting, cancelling, finishing)) {
+            if (log.stalled()) turnAway(map) else if (map.isNotEmpty()) turnAway(map.filterValues { t - it.since > WAIT_MS })
+        }
     }
 
-    /** The state service does not answer: callers hear so now; what is under way may still come to be. */
+    /** The state service does not answer, or refuses the write: callers hear so now; what is under way may still come to be. */
     private fun turnAway(map: Map<String, Waiting>) {
         for (waiting in map.values) {
             waiting.calls.forEach(::later)
             waiting.calls.clear()
+            waiting.since = desk.steady
         }
     }
 
@@ -210,6 +213,9 @@
         const val POLL = 2
         const val WITHDRAW = 3
         const val PASS_MS = 1500L
+
+        /** Users wait 5 s for an answer. */
+        const val WAIT_MS = 4000L
         const val MOST_PASSED = 500
         const val MOST_ACCEPTING = 1000
         val NOTHING = ByteArray(0)
--- a/src/main/kotlin/org/chalkhollow/core/StateLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/StateLog.kt
@@ -173,12 +173,10 @@
             else -> {
                 failed()
                 b.unavailable++
-                if (b.unavailable % TAKE_APART_AFTER == 0 && b.writes.size > 1 && !b.uncertain) {
-                    // It may ask for more at once than the service's rate allows in a burst.
-                    retryPartsAt = desk.steady + RETRY_MS
-                    takeApart(b, maxOf(1, b.writes.size / 4))
-                } else {
-                    again(b, if (b.unavailable > TAKE_APART_AFTER) RETRY_MS * 2 else RETRY_MS)
+                when {
+                    b.writes.size < 2 || b.unavailable % TAKE_APART_AFTER != 0 -> again(b, if (b.unavailable > TAKE_APART_AFTER) RETRY_MS * 2 else RETRY_MS)
+                    !b.uncertain -> thin(b)
+                    else -> lookAtRecord(b) { thin(b) }
                 }
             }
         }
@@ -191,7 +189,7 @@
             val keys = b.writes.flatMap { it.changes }.take(3).joinToString { it.key }
             desk.emit(Effect.Note(Effect.Level.ERROR, "the state service refuses a transaction of ${b.op.changes.size} changes ($keys): $why"))
         }
-        if (b.uncertain) return lookAtRecord(b, why)
+        if (b.uncertain) return lookAtRecord(b) { rejected(b, why) }
         if (b.writes.isEmpty()) {
             failed()
             return again(b, RETRY_MS * 4)
@@ -203,6 +201,12 @@
         pump()
     }
 
+    /** Not executed again and again: it may ask for more at once than the service's rate allows in a burst. */
+    private fun thin(b: Batch) {
+        retryPartsAt = desk.steady + RETRY_MS
+        takeApart(b, maxOf(1, b.writes.size / 4))
+    }
+
     private fun takeApart(b: Batch, size: Int) {
         batch = null
         for (part in b.writes.chunked(size).asReversed()) parts.addFirst(part)
@@ -220,8 +224,12 @@
         leadership.writeFailed(since)
     }
 
-    /** The conditions did not hold: either an earlier sending of the same transaction was applied, or someone else leads. */
-    private fun lookAtRecord(b: Batch, rejection: String? = null) {
+    /**
+     * The conditions did not hold: either an earlier sending of the same transaction was applied, or someone else leads. When
+     * they were not looked at, neither may be so, and [unchanged] says what then: should an earlier sending be carried out
+     * yet, the conditions of the next transaction fail, its count in the record is another, and the term ends.
+     */
+    private fun lookAtRecord(b: Batch, unchanged: (() -> Unit)? = null) {
         val inTerm = term
         desk.state(StateOp.Read(LeadRecord.KEY)) { reply ->
             if (term != inTerm) return@state
@@ -229,10 +237,9 @@
                 is StateReply.Found -> {
                     val stands = LeadRecord.of(reply.row)
                     if (stands == record) committed(b, reply.row.stamp, b.firstSentAt)
-                    else if (rejection != null && reply.row.stamp == recordStamp) {
-                        // Should the earlier sending be carried out yet, the next transaction's conditions fail, and we begin anew.
+                    else if (unchanged != null && reply.row.stamp == recordStamp) {
                         b.uncertain = false
-                        rejected(b, rejection)
+                        unchanged()
                     } else leadership.depose("generation ${stands.generation} of ${stands.owner} stands")
                 }
                 StateReply.Missing -> leadership.depose("the leadership record is gone")
--- a/src/test/kotlin/org/chalkhollow/core/DoorTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/DoorTest.kt
@@ -106,6 +106,34 @@
         assertTrue(unreadable > 5000, "only $unreadable named a job")
     }
 
+    @Test
+    fun `a job whose record the state service refuses is answered 503 and not accepted, and others are`() {
+        val r = rehearsal(4)
+        r.state.lowered = StateLimits(80.0, 20.0, 400, 12)
+        val large = body("j-000004", "flavours" to List(12) { "type-$it-" + "x".repeat(40) } + "small")
+        assertEquals(503, r.asks(r.leader, submission(large)).status)
+        assertEquals(201, r.asks(r.leader, submission(body("j-000005"))).status)
+        assertEquals(404, r.asks(r.leader, UserAsk.Poll("j-000004")).status)
+        assertTrue(r.state.rejections > 0)
+        r.state.lowered = null
+        assertEquals(201, r.asks(r.leader, submission(large)).status)
+        r.state.lowered = StateLimits(80.0, 20.0, 400, 12)
+        val gone = r.asks(r.leader, UserAsk.Withdraw("j-000004"))
+        assertEquals(200 to "aborted", gone.status to state(gone))
+    }
+
+    @Test
+    fun `tasks start although the state service refuses large markers, and hints it refuses are dropped`() {
+        val r = rehearsal(5)
+        r.state.lowered = StateLimits(80.0, 20.0, 600, 3)
+        repeat(6) { r.users.submit { it.copy(tasks = 12, types = null, zone = null, together = false, spread = false, dueS = null, expectedS = 1.0) } }
+        r.world.runUntil(r.world.time + 150_000)
+        assertTrue(r.state.rejections > 0)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertEquals(6, r.rules.acceptedCount)
+        assertTrue(r.rules.completions >= 72, "${r.rules.completions} tasks were completed: ${r.rules.pending()}")
+    }
+
     @Test
     fun `a repetition of an accepted job gets its state, whether it differs, can never run or is malformed`() {
         val r = rehearsal(2)
--- a/src/test/kotlin/org/chalkhollow/core/StateLogTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/StateLogTest.kt
@@ -188,6 +188,20 @@
         assertFalse(b.deposed)
     }
 
+    @Test
+    fun `a rate that is too low for a transaction without an answer does not stall the log either`() {
+        val b = Bench()
+        b.play(0, 1000)
+        val bucket = Bucket(8.0, b)
+        var silent = 0
+        b.rule = { op -> if (op.changes.size > 8 && silent++ == 0) StateReply.NoResponse else bucket.take(op) }
+        repeat(30) { b.write("k$it") }
+        b.play(1020, 30_000)
+        assertEquals(1, minOf(silent, 1))
+        assertEquals(List(30) { "k$it" }, b.durable)
+        assertFalse(b.deposed)
+    }
+
     @Test
     fun `after a time of refusals for the rate writes go on within a second`() {
         val b = Bench()
