Rehearsal: a 404 that was given before the job's acceptance is no broken rule

A user's cancellation was answered 404 while the job was being accepted, and that answer was 4 s on its way, until after the acceptance.

--- a/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Rules.kt
@@ -80,8 +80,9 @@
         if (id in acceptedIds) broken("forgotten", "$id was accepted and is now answered with $status")
     }
 
-    fun notFound(id: String) {
-        if (id in acceptedIds) broken("forgotten", "$id was accepted and is now unknown")
+    /** A user gets word, given at [saidAt], that [id] is unknown; before its acceptance was told that was right. */
+    fun notFound(id: String, saidAt: Long) {
+        if (id in acceptedIds && saidAt > (acceptedAt[id] ?: 0)) broken("forgotten", "$id was accepted and is now unknown")
     }
 
     fun asksToCancel(id: String) {
--- a/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
+++ b/src/test/kotlin/org/chalkhollow/rehearsal/Users.kt
@@ -48,6 +48,9 @@
         )
     }
 
+    /** When the answer that is being taken in was given; it may have been long on its way. */
+    private var saidAt = 0L
+
     private fun call(ask: UserAsk, waitMs: Long, then: (Effect.Answer?) -> Unit) {
         var settled = false
         fun settle(a: Effect.Answer?) {
@@ -59,7 +62,13 @@
         world.after(waitMs) { settle(null) }
         val node = rehearsal.nodes[world.random.nextInt(rehearsal.nodes.size)]
         rehearsal.network.send(USERS, node.label) {
-            val heard = node.user(ask) { a -> rehearsal.network.send(node.label, USERS) { settle(a) } }
+            val heard = node.user(ask) { a ->
+                val said = world.time
+                rehearsal.network.send(node.label, USERS) {
+                    saidAt = said
+                    settle(a)
+                }
+            }
             if (!heard) settle(null)
             if (ask !is UserAsk.Poll) rehearsal.network.copyAfter()?.let { late -> world.after(late) { node.user(ask) {} } }
         }
@@ -185,7 +194,7 @@
 
     private fun told(id: String, a: Effect.Answer?, askedAt: Long): String? {
         if (a == null) return null
-        if (a.status == 404) rehearsal.rules.notFound(id)
+        if (a.status == 404) rehearsal.rules.notFound(id, saidAt)
         if (a.status != 200 && a.status != 201) return null
         val status = Fields.of(Pack.decode(a.body ?: return null), "answer").text("status")
         rehearsal.rules.told(id, status, askedAt)
