--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -23,10 +23,10 @@
 ) {
     /**
      * A class of tasks that found no room, for the fleet to rent by; [pressing] if it would be late without dear machines. Only
-     * [zones] are of use to it now, if any are named: the others have as much of it as they may.
+     * zones that [zones] admit are of use to it now.
      */
     class Unplaced(val job: OpenJob, val count: Int, val pressing: Boolean, val zones: ZoneRule? = null) {
-        fun admits(zone: Int): Boolean = zones == null || zones.roomIn(zone) > 0
+        fun admits(zone: Int): Boolean = zones == null || zones.admits(zone)
     }
 
     var unplaced: List<Unplaced> = emptyList()
@@ -213,11 +213,11 @@
             left.add(Unplaced(job, wanted - placed, want > 0 && pressing(job, backlog / maxOf(1.0, capacity)), zones))
         }
 
-        /** The rule on zones as it stands with what this round has given the job; null while it leaves all zones open. */
-        private fun zonesAfter(job: OpenJob): ZoneRule? {
+        /** The rule on zones as it stands with what this round has given the job. */
+        private fun zonesAfter(job: OpenJob): ZoneRule {
             val zones = ZoneRule(job, fleet)
             for (a in out) if (a.job === job) zones.take(a.machine.zone, a.tasks.size)
-            return zones.takeIf { it.binds }
+            return zones
         }
 
         private fun note(job: OpenJob, placed: Int) {
@@ -587,8 +587,8 @@
         }
     }
 
-    /** Whether some zone is closed to the job as things stand. */
-    val binds: Boolean get() = job.spec.spread || only >= 0
+    /** Whether a machine in [zone] could take a task of the job as things stand; any zone may yet be chosen for one that has none. */
+    fun admits(zone: Int): Boolean = (only < 0 || zone == only) && spreadRoom(zone) > 0
 
     /** A task may be in a zone that is not known: `together` has to wait. */
     val blocked: Boolean get() = job.spec.together && (unknown > 0 || perZone.size > 1)
@@ -602,10 +602,11 @@
 
     fun roomIn(zone: Int): Int = when {
         job.spec.together && zone != only -> 0
-        job.spec.spread -> maxOf(0, most - unknown - (perZone[zone] ?: 0))
-        else -> Int.MAX_VALUE
+        else -> spreadRoom(zone)
     }
 
+    private fun spreadRoom(zone: Int): Int = if (job.spec.spread) maxOf(0, most - unknown - (perZone[zone] ?: 0)) else Int.MAX_VALUE
+
     fun take(zone: Int, n: Int) {
         perZone.merge(zone, n, Int::plus)
         if (job.spec.together && only < 0) only = zone
