A process counts from when its virtual machine began, and peers that are back are called at once

A peer that calls is called back at once instead of after a time-out, and what controllers say goes before what workers say. When two of three controllers fall the third leads sooner.

--- a/src/main/kotlin/org/chalkhollow/Main.kt
+++ b/src/main/kotlin/org/chalkhollow/Main.kt
@@ -18,11 +18,12 @@
 import org.chalkhollow.settings.OperatorSettings
 import org.chalkhollow.settings.OperatorText
 import org.chalkhollow.settings.PlatformSettings
+import java.lang.management.ManagementFactory
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
-/** The command line. */
-class Chalkhollow : CoreCliktCommand(name = "chalkhollow") {
+/** The command line of a process that began at [begunAt], by the steady clock in nanoseconds. */
+class Chalkhollow(private val begunAt: Long = System.nanoTime()) : CoreCliktCommand(name = "chalkhollow") {
     private val config by option("--config", metavar = "FILE", help = "the platform's settings, JSON")
     private val operator by option("--operator-settings", metavar = "FILE", help = "operators' own settings, protobuf text format")
     private val check by option("--check", help = "check the settings and exit").flag()
@@ -64,7 +65,7 @@
     }
 
     private suspend fun startOrFail(scope: CoroutineScope, loop: EventLoop, platform: PlatformSettings, own: OperatorSettings, life: Long): String? = try {
-        Node(scope, loop, platform, own, life).start()
+        Node(scope, loop, platform, own, life, begunAt).start()
         null
     } catch (e: java.io.IOException) {
         e.message ?: "cannot start"
@@ -93,8 +94,10 @@
 }
 
 fun main(args: Array<String>) {
+    // On a slow machine the virtual machine takes a second to come here, and what an earlier life promised runs out meanwhile.
+    val begunAt = System.nanoTime() - ManagementFactory.getRuntimeMXBean().uptime * 1_000_000
     setUpLogging()
-    val command = Chalkhollow()
+    val command = Chalkhollow(begunAt)
     try {
         command.parse(args)
     } catch (e: CliktError) {
--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -18,11 +18,13 @@
     options: OperatorSettings,
     incarnation: Long,
     start: Now,
+    /** When this process began, by the steady clock; an earlier life of this controller had ended by then. */
+    begunAt: Long = start.steady,
 ) : Leadership.Events {
     private val desk = Desk(incarnation).also { it.now = start }
     private val names = Names().apply { settings.teams.forEach { teams.intern(it.name) } }
     private val peerLabels = settings.peers.map { it.label }
-    private val leadership = Leadership(desk, settings.label, peerLabels, incarnation, options, start.steady, this)
+    private val leadership = Leadership(desk, settings.label, peerLabels, incarnation, options, start.steady, begunAt, this)
     private val survey = Survey(desk, listOf(JobTable.JOB, JobTable.PROGRESS, DispatchLog.MARK, BaseFleet.PREFIX)) { leadership.onPrepared() }
     private val log = StateLog(desk, settings.stateLimits, options, leadership)
     private val jobs = JobTable(desk, names, settings.stateLimits)
--- a/src/main/kotlin/org/chalkhollow/core/Leadership.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Leadership.kt
@@ -37,6 +37,8 @@
     private val incarnation: Long,
     private val options: OperatorSettings,
     private val startedAt: Long,
+    /** When this process began: an earlier life of it had ended by then, and gave its last promise and vote before. */
+    private val begunAt: Long,
     private val events: Events,
 ) {
     interface Events {
@@ -187,7 +189,7 @@
             votesUsedAt = NEVER
             return stand(if (majority == 1) "alone" else "record unchanged for $stale ms")
         }
-        if (t - startedAt < stretched(options.promiseMs)) return // an earlier life may have promised
+        if (t - begunAt < stretched(options.promiseMs)) return // an earlier life may have promised
         if (t < yieldsUntil) return
         if (t - voteAskedAt >= VOTE_RETRY_MS) askVotes(t, record)
     }
@@ -225,7 +227,7 @@
             val t = desk.steady
             readDueAt = t + options.leaderRenewMs
             val answered = reply is StateReply.Found || reply is StateReply.Missing
-            if (answered && askedAt - startedAt >= stretched(options.promiseMs)) knowsRecord = true
+            if (answered && askedAt - begunAt >= stretched(options.promiseMs)) knowsRecord = true
             if (role == Role.FOLLOWER) onRead(reply, t)
         }
     }
@@ -428,7 +430,7 @@
     }
 
     private fun onVoteAsk(from: Int, ask: PeerMessage.VoteAsk, t: Long) {
-        val free = t >= promisedUntil && t - startedAt >= stretched(options.promiseMs) && role != Role.LEADER
+        val free = t >= promisedUntil && t - begunAt >= stretched(options.promiseMs) && role != Role.LEADER
         val granted = free && ask.generation > generation && ask.stamp >= seenStamp
         if (granted) {
             votedGeneration = maxOf(votedGeneration, ask.generation)
--- a/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
+++ b/src/main/kotlin/org/chalkhollow/mesh/MeshNode.kt
@@ -10,10 +10,13 @@
 import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chalkhollow.settings.Address
 import org.chalkhollow.settings.Peer
@@ -26,9 +29,16 @@
     private val peers: List<Peer>,
     private val hello: PeerMessage.Hello,
     dropped: DroppedFrames,
-    receive: (Int, PeerMessage) -> Unit,
+    private val receive: (Int, PeerMessage) -> Unit,
 ) {
-    private val listener = PeerListener(peers.map { it.label }, dropped, receive, receive)
+    private val listener = PeerListener(peers.map { it.label }, dropped, ::greeted, receive)
+
+    /** The last life that each peer has told of, and whether a connection to it stands. */
+    private val lives = LongArray(peers.size)
+    private val connected = BooleanArray(peers.size)
+
+    /** Peers that have begun a new life, or that called while we had no connection to them: they listen, so call them now. */
+    private val wake = peers.map { Channel<Unit>(Channel.CONFLATED) }
     private val queues = peers.map { Channel<PeerMessage>(QUEUE, BufferOverflow.DROP_OLDEST) }
 
     fun send(peer: Int, message: PeerMessage) {
@@ -37,6 +47,13 @@
 
     suspend fun bind(): ServerSocket = aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true }
 
+    private fun greeted(peer: Int, hello: PeerMessage.Hello) {
+        val before = lives[peer]
+        lives[peer] = hello.incarnation
+        if (!connected[peer] || before != 0L && before != hello.incarnation) wake[peer].trySend(Unit)
+        receive(peer, hello)
+    }
+
     fun run(server: ServerSocket) {
         scope.launch {
             while (true) {
@@ -71,10 +88,9 @@
         while (true) {
             var socket: Socket? = null
             try {
-                socket = withTimeoutOrNull(CONNECT_MS) {
-                    aSocket(selector).tcp().connect(peers[i].address.host, peers[i].address.port) { noDelay = true }
-                }
+                socket = connect(i)
                 if (socket != null) {
+                    connected[i] = true
                     while (queue.tryReceive().isSuccess) Unit // what waited was for another life or too long ago
                     val output = socket.openWriteChannel(autoFlush = false)
                     var message: PeerMessage = hello
@@ -83,7 +99,10 @@
                         output.writeInt(bytes.size)
                         output.writeByteArray(bytes)
                         output.flush()
-                        message = queue.receive()
+                        message = select {
+                            queue.onReceive { it }
+                            wake[i].onReceive { null } // what this connection leads to has ended
+                        } ?: break
                     }
                 }
             } catch (e: CancellationException) {
@@ -91,9 +110,25 @@
             } catch (e: Throwable) {
                 // Refused or reset: try again shortly.
             } finally {
+                connected[i] = false
                 socket?.close()
             }
-            delay(RETRY_MS)
+            withTimeoutOrNull(RETRY_MS) { wake[i].receive() }
+        }
+    }
+
+    /** Null after a while without an answer, or as soon as the peer itself has called, which it does once it listens. */
+    private suspend fun connect(i: Int): Socket? = withTimeoutOrNull(CONNECT_MS) {
+        coroutineScope {
+            val attempt = async { aSocket(selector).tcp().connect(peers[i].address.host, peers[i].address.port) { noDelay = true } }
+            select {
+                attempt.onAwait { it }
+                wake[i].onReceive {
+                    attempt.cancel()
+                    wake[i].trySend(Unit) // so that the next attempt is made at once
+                    null
+                }
+            }
         }
     }
 
--- a/src/main/kotlin/org/chalkhollow/runtime/EventLoop.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/EventLoop.kt
@@ -31,6 +31,11 @@
 
     private val selector = Selector.open()
     private val local = ArrayDeque<Runnable>()
+
+    /**
+     * What other threads hand over: that is what other controllers say. It goes before all else, since an election must not
+     * wait behind hundreds of workers that ask for the leader.
+     */
     private val foreign = ConcurrentLinkedQueue<Runnable>()
     private val timers = PriorityQueue<Timer>(compareBy({ it.at }, { it.order }))
     private var timersMade = 0L
@@ -76,7 +81,10 @@
             if (wait == 0L) selector.selectNow() else selector.select(wait)
             val ready = selector.selectedKeys()
             if (ready.isEmpty()) continue
-            for (key in ready) if (key.isValid) (key.attachment() as Ready).onReady(key)
+            for (key in ready) {
+                if (key.isValid) (key.attachment() as Ready).onReady(key)
+                (foreign.poll() ?: continue).run()
+            }
             ready.clear()
         }
     }
@@ -93,7 +101,7 @@
     /** Runs what is queued now and what that queues, up to a bound, so that sockets and timers get their turn. */
     private fun runQueued() {
         var left = MOST_AT_ONCE
-        while (left-- > 0) (local.removeFirstOrNull() ?: foreign.poll() ?: return).run()
+        while (left-- > 0) (foreign.poll() ?: local.removeFirstOrNull() ?: return).run()
     }
 
     private fun waitMs(): Long {
--- a/src/main/kotlin/org/chalkhollow/runtime/Node.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Node.kt
@@ -27,7 +27,8 @@
 
 /**
  * Runs one controller: feeds it inputs, one at a time on one thread, and carries out its effects. Decides nothing. [scope]
- * must run on [loop].
+ * must run on [loop]. [begunAt] is when this process began, in nanoseconds by the steady clock: an earlier life of this
+ * controller had ended by then, which may be a while before this is made on a slow machine.
  */
 class Node(
     private val scope: CoroutineScope,
@@ -35,10 +36,11 @@
     private val settings: PlatformSettings,
     options: OperatorSettings,
     incarnation: Long,
+    begunAt: Long,
 ) {
     private val log = LoggerFactory.getLogger("chalkhollow")
     private val selector = SelectorManager(Dispatchers.IO)
-    private val controller = Controller(settings, options, incarnation, now())
+    private val controller = Controller(settings, options, incarnation, now(), begunAt / 1_000_000)
     private val meters = Meters()
 
     /** Bounds how often malformed messages are logged; the meters count them all. */
--- a/src/main/kotlin/org/chalkhollow/runtime/WarmUp.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/WarmUp.kt
@@ -39,7 +39,7 @@
         val scope = CoroutineScope(SupervisorJob() + loop)
         Thread(loop::run).apply { isDaemon = true }.start()
         withContext(loop) {
-            Node(scope, loop, settings, OperatorSettings(), 1).start()
+            Node(scope, loop, settings, OperatorSettings(), 1, System.nanoTime()).start()
             val link = HttpLink(scope, loop, settings.clientListen, 1 shl 16, 1)
             link.request(HttpMethod.Get, "/up", null, 1000)
             link.request(HttpMethod.Post, "/work", Pack.encode(job()), 1000)
--- a/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/PartsTest.kt
@@ -35,12 +35,12 @@
     }
 
     /** A leadership alone, with peers played by hand. */
-    private class Bench(peers: Int) : Leadership.Events {
+    private class Bench(peers: Int, begunAt: Long = 0) : Leadership.Events {
         val desk = Desk(3)
         val options = OperatorSettings(leaderLeaseMs = 2000, leaderRenewMs = 450, promiseMs = 1800)
         var elected = 0L
         var deposed = false
-        val leadership = Leadership(desk, "m", List(peers) { "p$it" }, 77, options, 0, this)
+        val leadership = Leadership(desk, "m", List(peers) { "p$it" }, 77, options, 0, begunAt, this)
 
         /** The stamp of the record for which all was read, as far as the test lets it be. */
         var preparedFor: Long? = null
@@ -116,6 +116,18 @@
         assertFalse(granted)
     }
 
+    // The seconds that a process takes until it listens count as well: what it promised before ended before it began.
+    @Test
+    fun `a process that began long before it listens votes at once, and not before its earlier promises have run out`() {
+        fun vote(begunAt: Long): Boolean {
+            val b = Bench(2, begunAt)
+            return b.at(10) { onPeer(1, PeerMessage.VoteAsk(6, 4, 1)) }
+                .filterIsInstance<Effect.Send>().map { it.message }.filterIsInstance<PeerMessage.Vote>().single().granted
+        }
+        assertTrue(vote(-1810))
+        assertFalse(vote(-1790))
+    }
+
     @Test
     fun `a voter makes no promise to the older generation`() {
         val b = Bench(2)
--- a/src/test/kotlin/org/chalkhollow/core/StateLogTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/StateLogTest.kt
@@ -15,7 +15,7 @@
     private class Bench(limits: StateLimits = StateLimits(80.0, 40.0, 8192, 12)) : Leadership.Events {
         val desk = Desk(3).also { it.now = Now(0, 0) }
         private val options = OperatorSettings()
-        val leadership = Leadership(desk, "m", emptyList(), 77, options, 0, this)
+        val leadership = Leadership(desk, "m", emptyList(), 77, options, 0, 0, this)
         val log = StateLog(desk, limits, options, leadership)
         val queue = ArrayDeque<Write>()
         val durable = ArrayList<String>()
