--- a/src/main/kotlin/org/chalkhollow/StatusCommand.kt
+++ b/src/main/kotlin/org/chalkhollow/StatusCommand.kt
@@ -61,6 +61,10 @@
         if (!s.ready) return echo("still rebuilding its view")
         echo("jobs: ${s.jobsOpen} open of ${s.jobsKnown} known")
         for (c in s.classes) echo("  ${c.name}: ${c.jobs} open, ${c.tasksLive} tasks on machines, ${c.tasksReady} waiting, oldest ${c.oldestS} s")
+        for (v in s.services) {
+            echo("  ${v.name}: ${v.services} services, ${v.up} of ${v.wanted} replicas up")
+            for (reason in v.down) echo("    $reason")
+        }
         echo("teams (CPUs in use / guaranteed / at most):")
         for (t in s.teams) echo("  ${t.name}: ${t.cpus} / ${t.guaranteed} / ${t.most}")
         echo("machines:")
--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -79,7 +79,7 @@
     }
 
     /** For gauges. */
-    val view: View get() = View(leadership.entitled(), leadership.generation, jobs.open.size, jobs.size, fleet.machines.size, versions.all)
+    val view: View get() = View(leadership.entitled(), leadership.generation, jobs.open.size, jobs.size, fleet.machines.size, versions.all, overview.replicas())
 
     /** Numbers for gauges, and which version each controller runs as far as known. */
     data class View(
@@ -89,6 +89,8 @@
         val jobs: Int,
         val machines: Int,
         val versions: Map<String, Int?> = emptyMap(),
+        /** Replicas of services that are wanted and that are up, as the leader knows. */
+        val replicas: Pair<Int, Int> = 0 to 0,
     )
 
     /** Whether this controller is entitled to act for all at this moment. */
--- a/src/main/kotlin/org/chalkhollow/core/Overview.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Overview.kt
@@ -28,7 +28,7 @@
         return StatusView(
             label, true, leader, leadership.generation, true, jobs.size, jobs.open.size, classes(),
             teams.mapIndexed { i, t -> TeamView(t.name, quotas.cpusOf(i), t.cpus, t.cpusMax) }, machines(),
-            controllers, versions.allNew,
+            controllers, versions.allNew, services(),
         )
     }
 
@@ -37,6 +37,28 @@
         ClassView(name, some.size, some.sumOf { it.ready.cardinality() }, some.sumOf { it.live.size }, oldest)
     }
 
+    private fun services(): List<ServiceView> = jobs.open.filter { it.service && !it.cancelling }.groupBy { it.spec.workload }.toSortedMap().map { (name, some) ->
+        val lacking = some.filter { it.running < it.spec.tasks }.sortedBy { it.acceptedWall }.take(MOST_EXPLAINED)
+        ServiceView(name, some.size, some.sumOf { it.spec.tasks }, some.sumOf { it.running }, lacking.map { "${it.spec.id}: ${whyDown(it)}" })
+    }
+
+    private fun whyDown(job: OpenJob): String {
+        val why = if (job.ready.isEmpty) emptyList() else reasons(job)
+        val doubtful = job.live.size - job.running
+        return (why + listOfNotNull("$doubtful begin, or are not yet proved gone where they were".takeIf { doubtful > 0 })).joinToString("; ")
+    }
+
+    /** Replicas that are wanted and that are up. */
+    fun replicas(): Pair<Int, Int> {
+        var wanted = 0
+        var up = 0
+        for (job in jobs.open) if (job.service && !job.cancelling) {
+            wanted += job.spec.tasks
+            up += job.running
+        }
+        return wanted to up
+    }
+
     private fun machines(): List<MachineView> = fleet.machines.filter { it.type >= 0 }
         .groupingBy { m -> listOf(names.types.name(m.type), names.zones.name(m.zone), m.spot, state(m)) }.eachCount()
         .map { (k, n) -> MachineView(k[0] as String, k[1] as String, k[2] as Boolean, k[3] as String, n) }
@@ -71,4 +93,8 @@
         else if (fits.none { job.each.fitsIn(it.room(fleet.types)) }) out.add("the ${fits.size} machines that it may use have no room for a task")
         return out.ifEmpty { listOf("other work goes first") }
     }
+
+    private companion object {
+        const val MOST_EXPLAINED = 3
+    }
 }
--- a/src/main/kotlin/org/chalkhollow/core/StatusView.kt
+++ b/src/main/kotlin/org/chalkhollow/core/StatusView.kt
@@ -18,8 +18,13 @@
     val controllers: List<ControllerView> = emptyList(),
     /** Whether every controller is known to run this one's version or a newer one, so that no upgrade is under way. */
     val allNew: Boolean = false,
+    val services: List<ServiceView> = emptyList(),
 )
 
+/** The services of one class: replicas wanted and up, and for the first few that lack some, what they wait for. */
+@Serializable
+data class ServiceView(val name: String, val services: Int, val wanted: Int, val up: Int, val down: List<String>)
+
 /** The version that one controller runs; null when it has not told this one yet. */
 @Serializable
 data class ControllerView(val label: String, val version: Int?)
--- a/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Meters.kt
@@ -53,6 +53,8 @@
         appendLine("chalkhollow_jobs_open ${view.openJobs}")
         appendLine("chalkhollow_jobs_known ${view.jobs}")
         appendLine("chalkhollow_machines ${view.machines}")
+        appendLine("chalkhollow_replicas_wanted ${view.replicas.first}")
+        appendLine("chalkhollow_replicas_up ${view.replicas.second}")
         for ((label, version) in view.versions) if (version != null) appendLine("chalkhollow_version{controller=\"$label\"} $version")
         for ((kind, h) in histograms) {
             for (q in QUANTILES) appendLine("chalkhollow_micros{kind=\"$kind\",quantile=\"$q\"} ${h.getValueAtPercentile(q * 100)}")
--- a/src/test/kotlin/org/chalkhollow/ServicesTest.kt
+++ b/src/test/kotlin/org/chalkhollow/ServicesTest.kt
@@ -152,6 +152,19 @@
         assertEquals(emptyList<String>(), late)
     }
 
+    @Test
+    fun `operators are told how many replicas are up and why one is down`() {
+        val r = quiet(4, machines = 10, capacity = 10)
+        // As urgent as the service, so that it does not give way: 36 of the team's 40 CPUs.
+        r.users.submit { batch("red", 18, 2.0, 300.0)(it).copy(priority = Priority.PRODUCTION) }
+        r.world.runUntil(25_000)
+        val id = r.users.submitService { it.copy(team = "red", workload = "portal", tasks = 4, each = Resources(2.0, 0.0, 1.0)) }
+        r.world.runUntil(50_000)
+        val service = checkNotNull(r.nodes.single { it.leads }.status()).services.single()
+        assertEquals(listOf("portal", 1, 4, 2), listOf(service.name, service.services, service.wanted, service.up))
+        assertEquals("$id: its team is at its limit", service.down.single())
+    }
+
     /** A day of one team's batch work, with or without services that take 8 of its 40 CPUs. */
     private fun batchDay(seed: Long, services: Int): Rehearsal {
         val r = quiet(seed)
