Room kept for services is not kept from a job that waits long

As with other kept room, what has waited for 60 s is offered it, the first five such jobs of a round. The test was seen to fail without the offer.

--- a/src/main/kotlin/org/chalkhollow/core/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Placement.kt
@@ -181,6 +181,7 @@
         private val givenCards = HashMap<Int, Double>()
         private val taken = HashMap<OpenJob, Int>()
         private var kept = false
+        private var exceptions = MOST_EXCEPTIONS
 
         /** Replicas that their team's limit keeps from running. */
         val limited = ArrayList<Pair<OpenJob, Int>>()
@@ -200,11 +201,18 @@
             if (job.gang && (!job.live.isEmpty() || want < ready)) want = 0 // all at once or not at all
             // Rules on zones are counted over what one call places, so such jobs are placed in one.
             if (heldOnly && (job.gang || job.spec.together || job.spec.spread)) want = 0
-            val placed = when {
+            var placed = when {
                 want <= 0 -> 0
                 job.gang -> placeGang(job, want, machines, out)
                 else -> place(job, want, machines, out, taken[job] ?: 0, heldOnly)
             }
+            // Room for services is no longer kept from what waits long, see [waitsLong].
+            val again = placed == 0 || !job.spec.together && !job.spec.spread
+            if (kept && again && placed < want && !heldOnly && !job.service && waitsLong(job) && exceptions-- > 0) {
+                replicas.giveBack()
+                placed += if (!job.gang) place(job, want - placed, machines, out, (taken[job] ?: 0) + placed, false) else placeGang(job, want, machines, out)
+                replicas.keepRoom(machines)
+            }
             if (placed > 0) note(job, placed)
             if (placed == ready) job.allPlacedWall = desk.now.wall
             if (heldOnly || placed >= wanted) return
@@ -560,6 +568,9 @@
         private const val SCARCE_MS = 300_000L
         private const val PATIENCE_MS = 30_000L
         private const val KEPT_FROM_MS = 60_000L
+
+        /** Of the jobs that wait long only the first few are offered the room kept for services: each offer costs a pass. */
+        private const val MOST_EXCEPTIONS = 5
         private const val SURE_FACTOR = 0.8 // estimates are often too high; what may still do is not given up
         private const val LATE_FACTOR = 1.5
 
--- a/src/main/kotlin/org/chalkhollow/core/Replicas.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Replicas.kt
@@ -19,12 +19,21 @@
     /** How many replicas of [job] may be on [m] now. */
     fun on(m: Machine, job: OpenJob): Int = m.attempts.count { it.job === job && it.phase != Attempt.Phase.EXITED }
 
+    private val kept = ArrayList<Pair<Machine, Resources>>()
+
+    /** Gives the room that [keepRoom] took off back to the machines. */
+    fun giveBack() {
+        for ((m, r) in kept) m.left = Resources(m.left.cpus + r.cpus, m.left.cards + r.cards, m.left.memoryGb + r.memoryGb)
+        kept.clear()
+    }
+
     /** Takes the room kept for services off what is left of [machines] in this round, and returns how many CPUs that are. */
     fun keepRoom(machines: List<Machine>): Double {
+        kept.clear()
         noteSizes()
         if (largest.isEmpty()) return 0.0
         val byZone = machines.groupBy { it.zone }
-        var kept = 0.0
+        var cpus = 0.0
         for (l in largest.values) for (some in byZone.values) {
             var need = (l.count + byZone.size - 1) / byZone.size
             for (m in some.sortedBy { it.left.cpus }) {
@@ -33,11 +42,12 @@
                 val n = minOf(need, l.each.countIn(m.left), MOST_KEPT)
                 if (n <= 0) continue
                 need -= n
-                kept += n * l.each.cpus
+                cpus += n * l.each.cpus
+                kept.add(m to Resources(n * l.each.cpus, n * l.each.cards, n * l.each.memoryGb))
                 m.left = Resources(m.left.cpus - n * l.each.cpus, m.left.cards - n * l.each.cards, m.left.memoryGb - n * l.each.memoryGb)
             }
         }
-        return kept
+        return cpus
     }
 
     private fun noteSizes() {
--- a/src/test/kotlin/org/chalkhollow/core/WaitingTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/WaitingTest.kt
@@ -53,4 +53,24 @@
         assertEquals(emptyList<String>(), r.rules.violations)
         assertEquals(2, r.rules.doneCount, "it still waits: ${r.rules.pending()}")
     }
+
+    // Room kept for services was kept without end as well; seed 1046 of the days with services among the jobs.
+    @Test
+    fun `room that is kept for services is not kept from a job that waits long`() {
+        val r = calm(capacity = 2)
+        r.world.runUntil(8000)
+        val service = r.users.submitService { it.copy(team = "red", tasks = 4, each = Resources(2.0, 0.0, 1.0)) }
+        r.world.runUntil(25_000)
+        assertEquals(4, r.rules.services.up(service))
+        r.users.submit {
+            it.copy(
+                id = "j-2", workload = "other", team = "blue", priority = Priority.STANDARD, tasks = 3, each = Resources(2.0, 0.0, 1.0), types = null, zone = null,
+                together = false, spread = false, spotAllowed = false, expectedS = 3.0, dueS = null,
+            )
+        }
+        r.rules.calmFrom = 25_000
+        r.world.runUntil(125_000)
+        assertEquals(emptyList<String>(), r.rules.violations)
+        assertEquals(1, r.rules.doneCount, "it still waits: ${r.rules.pending()}")
+    }
 }
