--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import shutil
 import signal
@@ -21,12 +22,17 @@
 
 
 def free_ports(n):
-    socks = [socket.socket() for _ in range(n)]
-    for s in socks:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in socks]
-    for s in socks:
-        s.close()
+    """Free ports below the range from which the system takes ports for outgoing connections."""
+    ports = []
+    while len(ports) < n:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -1,5 +1,6 @@
 """A stand-in of a worker, as PROTOCOL describes it: reports, tokens, sessions, direct orders, tasks."""
 import asyncio
+import json
 import random
 import time
 import pack
@@ -41,6 +42,7 @@
         self.on_order_gate = None  # async () -> None, awaited before a direct command is carried out
         self.warning = None
         self.last_size = 0
+        self.largest_command = 0
         self.cut_from = set()      # nodes that this worker cannot reach: connections hang
         self.deaf = False          # answers and direct commands are lost, reports arrive
         self.hung = asyncio.Event()  # cleared while the machine hangs
@@ -160,6 +162,9 @@
         if method == "GET" and path == "/show":
             return 200, self.report()
         m = pack.decode(body)
+        self.largest_command = max(self.largest_command, len(json.dumps(m)))
+        if len(json.dumps(m)) > 64 * 1024:  # PROTOCOL: the limit for request bodies, counted as JSON
+            return 413, None
         if self.on_order_gate:
             if await self.on_order_gate(m) is net.DROP:
                 return net.DROP
