--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -8,8 +8,10 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
+import threading
 import time
 import re
 import net
@@ -18,6 +20,7 @@
 from worker import Worker
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+HARD_LIMIT_S = 119.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -67,6 +70,7 @@
         self.next_limits = {}  # {"next": {...}}, the limits that the state service will have later
         self.labels = ["worker-%d" % i for i in range(nodes)]
         self.tasks = []
+        self.roots = {}  # by node: the checkout that it runs, if not this one
 
     def now(self):
         return time.monotonic() - self.t0
@@ -112,13 +116,13 @@
                       "skew_ms": 25.0, **self.extra_facts}}
 
     def start_controller(self, i):
-        import subprocess
         path = self.tmp / ("settings-%d.json" % i)
         path.write_text(json.dumps(self.settings(i)))
-        run = re.search(r'^run = "(.*)"$', (ROOT / "deploy/service.toml").read_text(), re.M).group(1)
+        root = self.roots.get(i, ROOT)
+        run = re.search(r'^run = "(.*)"$', (root / "deploy/service.toml").read_text(), re.M).group(1)
         err = open(self.tmp / ("controller-%d.log" % i), "ab")
         env = dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info"))
-        self.procs[i] = subprocess.Popen(shlex.split(run) + [str(path)], cwd=ROOT, stdin=subprocess.DEVNULL,
+        self.procs[i] = subprocess.Popen(shlex.split(run) + [str(path)], cwd=root, stdin=subprocess.DEVNULL,
                                          stdout=err, stderr=err, env=env, start_new_session=True)
         self.log("controller_started", node=i)
 
@@ -251,10 +255,13 @@
         rig.close()
         os._exit(2)
 
+    watchdog = threading.Timer(HARD_LIMIT_S, stop)  # whatever hangs, the script and its processes end in time
+    watchdog.daemon = True
+    watchdog.start()
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     try:
-        violations = asyncio.run(go())
+        violations = asyncio.new_event_loop().run_until_complete(go())
         if net.errors:
             raise CannotRun("faults of the stand-ins: %s" % net.errors[:3])
         for v in violations:
