--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HARD_LIMIT_S = 119.0
+SUBMISSIONS = "/work"  # where users submit jobs, by PROTOCOL
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -39,6 +40,11 @@
     return ports
 
 
+def job_url(job_id):
+    """The path of a job in the users' protocol."""
+    return "/".join((SUBMISSIONS, job_id))
+
+
 class Rig:
     FLAVOURS = [
         {"sku": "depot-box", "vcpus": 8.0, "cards": 0.0, "memoryGb": 64.0, "localGb": 70.0, "pullGbPerS": 0.4,
@@ -190,7 +196,7 @@
         end = time.monotonic() + for_s
         i = 0 if node is None else node
         while time.monotonic() < end:
-            status, body = await self.call(i, "POST", "/work", spec)
+            status, body = await self.call(i, "POST", SUBMISSIONS, spec)
             self.log("submit", node=i, job=spec["nameId"], status=status, body=body)
             if status in (200, 201):
                 return self.now()
@@ -201,7 +207,7 @@
         raise CannotRun("a submission was not accepted in time")
 
     async def poll(self, job_id, node, timeout=2.0):
-        status, body = await self.call(node, "GET", "/work/" + job_id, timeout=timeout)
+        status, body = await self.call(node, "GET", job_url(job_id), timeout=timeout)
         self.log("poll", node=node, job=job_id, status=status, body=body)
         return status, body
 
@@ -209,7 +215,7 @@
         end = time.monotonic() + for_s
         i = node
         while time.monotonic() < end:
-            status, body = await self.call(i, "POST", "/work/%s/withdraw" % job_id)
+            status, body = await self.call(i, "POST", job_url(job_id) + "/withdraw")
             self.log("withdraw", node=i, job=job_id, status=status, body=body)
             if status == 200:
                 return body["status"]
