Show why tasks that could be started are not, in log, metrics and job report

The hypotheses could not be told apart: a marker row too large for a value, the team's limit, attempts not confirmed absent, a machine that is not usable, rejected writes, no write budget.

What is placed does not change.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -122,6 +122,7 @@
                 versions = modules.versions.byLabel,
                 replicas = modules.jobReport.replicas(),
                 dropped = context.dropped.counts(),
+                held = modules.heldTasks.counts(),
             )
 
     private companion object {
--- a/src/main/kotlin/org/chalkhollow/core/ControllerModules.kt
+++ b/src/main/kotlin/org/chalkhollow/core/ControllerModules.kt
@@ -21,6 +21,7 @@
 import org.chalkhollow.core.leadership.LeadershipRecord
 import org.chalkhollow.core.operations.ControllerVersions
 import org.chalkhollow.core.operations.FleetReport
+import org.chalkhollow.core.operations.HeldTasks
 import org.chalkhollow.core.operations.JobReport
 import org.chalkhollow.core.operations.StatusReport
 import org.chalkhollow.core.operations.WaitReasons
@@ -90,11 +91,12 @@
             commands,
             settings.heartbeatIntervalS,
         )
-    val periodic = PeriodicTasks(context, leadership, requests, snapshot, fleetStep)
+    val heldTasks = HeldTasks(context, jobs, placement)
+    val periodic = PeriodicTasks(context, leadership, requests, snapshot, fleetStep, heldTasks)
     val lateEffects = LateEffects(leadership)
 
     val versions = ControllerVersions(label, peerLabels)
-    private val waitReasons = WaitReasons(context, writer, quotas, fleet, placement)
+    private val waitReasons = WaitReasons(context, writer, quotas, fleet, placement, heldTasks)
     val jobReport = JobReport(context, jobs, waitReasons)
     private val fleetReport = FleetReport(fleet, names)
     val statusReport =
--- a/src/main/kotlin/org/chalkhollow/core/PeriodicTasks.kt
+++ b/src/main/kotlin/org/chalkhollow/core/PeriodicTasks.kt
@@ -4,6 +4,7 @@
 import org.chalkhollow.core.common.Effect
 import org.chalkhollow.core.leadership.CandidateSnapshot
 import org.chalkhollow.core.leadership.Leadership
+import org.chalkhollow.core.operations.HeldTasks
 import org.chalkhollow.core.requests.RequestHandler
 
 /**
@@ -15,6 +16,7 @@
     private val requests: RequestHandler,
     private val snapshot: CandidateSnapshot,
     private val fleetStep: FleetStep,
+    private val heldTasks: HeldTasks,
 ) {
     fun tick() {
         context.overload.onTick(context.steady)
@@ -22,6 +24,7 @@
         requests.tick()
         snapshot.tick()
         fleetStep.tick()
+        heldTasks.tick(leadership.mayActAsLeader())
         requestNextTick()
     }
 
--- a/src/main/kotlin/org/chalkhollow/core/PlacementStep.kt
+++ b/src/main/kotlin/org/chalkhollow/core/PlacementStep.kt
@@ -33,7 +33,7 @@
         val allocations = placement.round()
         placement.preempted.forEach(commands::send)
         if (allocations.isNotEmpty()) context.changed() // some may not have fit into this transaction
-        return dispatch.prepareMarkerWrite(allocations, budget)
+        return dispatch.prepareMarkerWrite(allocations, budget, placement)
     }
 
     /** Rounds are expensive in processor time, so without a change they run far less often. */
--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -41,18 +41,23 @@
 
     /**
      * Reserves the [allocations] that fit into [budget] and returns the write of their markers; null if none fits.
-     * Tasks that do not fit stay pending for the next round.
+     * Tasks that do not fit stay pending for the next round. [events] are told what becomes of each allocation.
      */
-    fun prepareMarkerWrite(allocations: List<Allocation>, budget: TransactionBudget): Write? {
+    fun prepareMarkerWrite(allocations: List<Allocation>, budget: TransactionBudget, events: DispatchEvents): Write? {
         val builder = DispatchMarkerBuilder(maxMarkerBytes, budget.ops, budget.bytes, ::nextMarker)
         val packed = builder.pack(allocations)
+        for (left in builder.leftOut) events.onHeld(left.allocation, left.reason)
         if (packed.isEmpty()) return null
         val attempts = reserve(packed)
+        val recorded = packed.flatMap { it.allocations }
+        events.onDispatching(recorded)
         return Write(packed.map { it.change() }, onRejected = {
             if (packed.size == 1) lowerMarkerLimit() // with several markers, their number was too high
             reconciler.onMarkersRejected(attempts)
+            events.onRejected(recorded)
         }) {
             raiseMarkerLimit()
+            events.onDispatched(recorded)
             reconciler.onMarkersPersisted(attempts)
         }
     }
--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchMarkerBuilder.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchMarkerBuilder.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.core.attempts
 
 import org.chalkhollow.core.cluster.DispatchMarker
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.model.Change
 
@@ -34,8 +35,15 @@
         fun change() = Change(marker.key, DispatchMarkerRecord.encode(marker.number, rows))
     }
 
+    /** An allocation that is in no marker, for [reason]. */
+    class LeftOut(val allocation: Allocation, val reason: HoldReason)
+
     private val packed = ArrayList<PackedMarker>()
 
+    /** What [pack] left out. */
+    val leftOut = ArrayList<LeftOut>()
+    private var attemptNumbersExhausted = false
+
     /** The marker that further allocations are added to; null if the next allocation starts a new marker. */
     private var current: PackedMarker? = null
     private var totalRowBytes = 0
@@ -46,13 +54,23 @@
 
     fun pack(allocations: List<Allocation>): List<PackedMarker> {
         gangBytes = bytesOfGangs(allocations)
-        for (allocation in allocations) {
-            if (allocation.job.gang && isTooLargeGang(allocation.job)) continue
-            if (!add(allocation)) break
+        for ((position, allocation) in allocations.withIndex()) {
+            if (allocation.job.gang && isTooLargeGang(allocation.job)) {
+                leftOut.add(LeftOut(allocation, HoldReason.MARKER_GANG_TOO_LARGE))
+            } else if (!add(allocation)) {
+                leaveOut(allocations.subList(position, allocations.size))
+                break
+            }
         }
         return packed
     }
 
+    private fun leaveOut(allocations: List<Allocation>) {
+        val exhausted = attemptNumbersExhausted
+        val reason = if (exhausted) HoldReason.ATTEMPT_NUMBERS_EXHAUSTED else HoldReason.TRANSACTION_FULL
+        allocations.mapTo(leftOut) { LeftOut(it, reason) }
+    }
+
     private fun bytesOfGangs(allocations: List<Allocation>): Map<OpenJob, Int> {
         val bytes = HashMap<OpenJob, Int>()
         for (allocation in allocations) {
@@ -80,7 +98,10 @@
         if (job.gang && currentGang !== job && !beginGang(job)) return false
         val row = DispatchMarkerRecord.Row.of(allocation)
         val rowBytes = row.bytes
-        if (rowBytes + MARKER_OVERHEAD_BYTES > maxMarkerBytes) return true
+        if (rowBytes + MARKER_OVERHEAD_BYTES > maxMarkerBytes) {
+            leftOut.add(LeftOut(allocation, HoldReason.MARKER_ROW_TOO_LARGE))
+            return true
+        }
         if (current.let { it != null && it.bytes + rowBytes > maxMarkerBytes }) current = null
         if (totalRowBytes + rowBytes + MARKER_OVERHEAD_BYTES > maxBytes) return false
         val target = current ?: newMarker() ?: return false
@@ -98,7 +119,11 @@
 
     private fun newMarker(): PackedMarker? {
         if (packed.size >= maxMarkers) return null
-        val marker = nextMarker() ?: return null
+        val marker = nextMarker()
+        if (marker == null) {
+            attemptNumbersExhausted = true
+            return null
+        }
         return PackedMarker(marker).also {
             packed.add(it)
             current = it
--- a/src/main/kotlin/org/chalkhollow/core/cluster/OpenJob.kt
+++ b/src/main/kotlin/org/chalkhollow/core/cluster/OpenJob.kt
@@ -26,6 +26,7 @@
     val tasks = TaskReadiness(spec.tasks, progress)
     val backoff = FailureBackoff()
     val credit = FairShareCredit(acceptedWallMs)
+    val hold = PlacementHold()
     val runTimes = ObservedRunTimes()
 
     /** Whether its cancellation is being written. From then on no task of it is placed or started. */
--- a/src/main/kotlin/org/chalkhollow/core/operations/ControllerGauges.kt
+++ b/src/main/kotlin/org/chalkhollow/core/operations/ControllerGauges.kt
@@ -1,5 +1,6 @@
 package org.chalkhollow.core.operations
 
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.common.DroppedInput
 
 /** The values of the gauges and counters of one controller, and the known versions of all controllers. */
@@ -16,6 +17,8 @@
     val replicas: ReplicaCounts = ReplicaCounts(wanted = 0, up = 0),
     /** Number of dropped inputs since this process started. */
     val dropped: Map<DroppedInput, Long> = emptyMap(),
+    /** Number of ready tasks by the reason why they are not started, as known to the leader. */
+    val held: Map<HoldReason, Int> = emptyMap(),
 )
 
 /** Replicas of all services, as known to the leader. */
--- a/src/main/kotlin/org/chalkhollow/core/operations/WaitReasons.kt
+++ b/src/main/kotlin/org/chalkhollow/core/operations/WaitReasons.kt
@@ -1,5 +1,6 @@
 package org.chalkhollow.core.operations
 
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.cluster.Machine
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.core.common.CoreContext
@@ -15,19 +16,32 @@
     private val quotas: Quotas,
     private val fleet: Fleet,
     private val placement: Placement,
+    private val heldTasks: HeldTasks,
 ) {
-    /** The reasons why ready tasks of [job] are not placed now; empty if it has no ready tasks. */
+    /** The reasons why tasks of [job] that could be started are not; empty if it has no such tasks. */
     fun of(job: OpenJob): List<String> {
-        if (job.tasks.noneReady) return emptyList()
+        val writerStalled =
+            "the state service takes no writes, and nothing starts without a marker".takeIf { writer.isStalled() }
+        if (job.tasks.noneReady) {
+            val inFlight = heldTasks.reasonOf(job) ?: return emptyList()
+            return listOfNotNull(writerStalled, inFlight.text)
+        }
         val reasons =
             listOfNotNull(
-                "the state service takes no writes, and nothing starts without a marker".takeIf { writer.isStalled() },
+                writerStalled,
                 "it is being cancelled".takeIf { job.cancelling },
                 backoff(job),
-                "its team is at its limit".takeIf { isTeamAtLimit(job) },
+                HoldReason.TEAM_LIMIT.text.takeIf { isTeamAtLimit(job) },
                 machineShortage(job),
             )
-        return reasons.ifEmpty { listOf("other work goes first") }
+        return (reasons + listOfNotNull(holdText(job, reasons))).ifEmpty { listOf("other work goes first") }
+    }
+
+    /** The text of the reason that the last placement round found, unless one of [others] says the same. */
+    private fun holdText(job: OpenJob, others: List<String>): String? {
+        val reason = heldTasks.reasonOf(job) ?: return null
+        val impliedByOthers = reason == HoldReason.NO_CAPACITY || reason == HoldReason.FAILURE_BACKOFF
+        return reason.text.takeUnless { it in others || impliedByOthers && others.isNotEmpty() }
     }
 
     private fun backoff(job: OpenJob): String? {
--- a/src/main/kotlin/org/chalkhollow/core/placement/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/placement/Placement.kt
@@ -2,6 +2,8 @@
 
 import org.chalkhollow.core.attempts.Allocation
 import org.chalkhollow.core.attempts.AttemptReconciler
+import org.chalkhollow.core.attempts.DispatchEvents
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.cluster.Machine
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.core.common.CoreContext
@@ -28,7 +30,7 @@
     private val fleet: Fleet,
     options: OperatorSettings,
     private val objectives: ServiceLevelObjectives,
-) {
+) : DispatchEvents {
     private val replicaPlacement = ReplicaPlacement(jobs)
     private val starvation = StarvationPrevention(context, jobs, reconciler, options)
     private val scarceTypes = ScarceMachineTypes(context, jobs, fleet, objectives)
@@ -52,7 +54,19 @@
     /** Whether [job] may use [machine] now, whatever its free capacity. */
     fun mayUse(job: OpenJob, machine: Machine): Boolean = selector.isAllowed(job, machine)
 
+    /** Whether a machine that [job] may use has capacity for one of its tasks, whatever else it is kept for. */
+    fun hasMachineFor(job: OpenJob): Boolean =
+        fleet.placeable().any { machine ->
+            fleet.allows(job, machine.type, machine.zone, machine.spot) &&
+                job.taskResources.fitsIn(machine.freeCapacity(fleet.types))
+        }
+
+    /** When the last round ran, in monotonic time. */
+    var lastRoundAtMs = context.steady
+        private set
+
     fun round(): List<Allocation> {
+        lastRoundAtMs = context.steady
         preemption.begin()
         unplaced = emptyList()
         if (jobs.open.none { it.placeable } && !migration.hasWork()) return emptyList()
@@ -61,6 +75,7 @@
         urgentHeadroom.recordJobSizes()
         starvation.begin(order.fleetCpus)
         val pendingJobs = order.pendingJobs()
+        holdJobsInBackoff()
         val placeable = fleet.placeable()
         val round = newRound(pendingJobs, placeable)
         serve(pendingJobs, round)
@@ -72,6 +87,30 @@
         return round.allocations
     }
 
+    private fun holdJobsInBackoff() {
+        for (job in jobs.open) {
+            val inBackoff = job.placeable && job.backoff.notBeforeMs > context.steady
+            if (inBackoff) job.hold.hold(HoldReason.FAILURE_BACKOFF, context.steady)
+        }
+    }
+
+    override fun onHeld(allocation: Allocation, reason: HoldReason) = allocation.job.hold.hold(reason, context.steady)
+
+    override fun onDispatching(allocations: List<Allocation>) {
+        for (allocation in allocations) allocation.job.hold.onDispatching(allocation.tasks.size, context.steady)
+    }
+
+    override fun onDispatched(allocations: List<Allocation>) {
+        for (allocation in allocations) {
+            val job = allocation.job
+            job.hold.onDispatched(allocation.tasks.size, job.tasks.noneReady, context.steady)
+        }
+    }
+
+    override fun onRejected(allocations: List<Allocation>) {
+        for (allocation in allocations) allocation.job.hold.onRejected(allocation.tasks.size, context.steady)
+    }
+
     /** Starts a round with the restarts of migrating replicas, which come before all other tasks. */
     private fun newRound(pendingJobs: List<OpenJob>, placeable: List<Machine>): PlacementRound {
         val machines = withFreeCapacity(placeable, pendingJobs)
--- a/src/main/kotlin/org/chalkhollow/core/placement/PlacementRound.kt
+++ b/src/main/kotlin/org/chalkhollow/core/placement/PlacementRound.kt
@@ -2,6 +2,7 @@
 
 import org.chalkhollow.core.attempts.Allocation
 import org.chalkhollow.core.cluster.FairShareCredit
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.cluster.Machine
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.core.common.CoreContext
@@ -11,6 +12,9 @@
 import org.chalkhollow.core.jobs.Quotas
 import org.chalkhollow.model.Resources
 
+/** How many tasks of a job a round should place; [limit] says why not all that the team's quota allows. */
+private class Demand(val tasks: Int, val limit: HoldReason?)
+
 /** Ready replicas of one service that exceed their team's quota. */
 class ReplicasOverQuota(val job: OpenJob, val count: Int)
 
@@ -90,15 +94,19 @@
         if (job.service && withinQuota < ready) overQuota.add(ReplicasOverQuota(job, ready - withinQuota))
         // A zone constraint does not count what earlier calls of this round placed: one call places all of such a job.
         val inOnePass = job.gang || job.hasZoneConstraint
-        val wanted = if (cachedImageOnly && inOnePass) 0 else wantedTasks(job, withinQuota, ready)
+        val demand = demand(job, withinQuota, ready)
+        val wanted = if (cachedImageOnly && inOnePass) 0 else demand.tasks
         val placed = if (wanted > 0) placeWithHeadroom(job, wanted, cachedImageOnly) else 0
         if (placed > 0) recordPlaced(job, placed)
         if (placed == ready) job.credit.allPlaced(context.now.wall)
-        if (!cachedImageOnly && placed < withinQuota) {
-            recordUnplaced(job, withinQuota - placed, canBePressing = wanted > 0)
-        }
+        if (cachedImageOnly || placed == ready) return
+        job.hold.hold(holdReason(demand, placed), context.steady)
+        if (placed < withinQuota) recordUnplaced(job, withinQuota - placed, canBePressing = wanted > 0)
     }
 
+    private fun holdReason(demand: Demand, placed: Int): HoldReason =
+        if (placed < demand.tasks) HoldReason.NO_CAPACITY else demand.limit ?: HoldReason.TEAM_LIMIT
+
     /** Reserves headroom for services before the first job that is neither a service nor has credit. */
     private fun reserveHeadroomBefore(job: OpenJob) {
         if (serviceHeadroomReserved || job.service || starvation.isServedFirst(job)) return
@@ -107,18 +115,29 @@
         freeCpus -= replicaPlacement.reserveHeadroom(machines)
     }
 
-    /** How many of the [maxTasks] tasks that the team's quota allows should be placed. */
-    private fun wantedTasks(job: OpenJob, maxTasks: Int, ready: Int): Int {
+    /** How many of the [maxTasks] tasks that the team's quota allows should be placed, of [ready] ready ones. */
+    private fun demand(job: OpenJob, maxTasks: Int, ready: Int): Demand {
         var wanted = maxTasks
+        var limit: HoldReason? = null
+
+        fun limitTo(tasks: Int, reason: HoldReason) {
+            if (tasks >= wanted) return
+            wanted = tasks
+            limit = reason
+        }
         // The job's tasks fail on several machines: one task is placed as a probe.
-        if (job.backoff.failures > 0 && job.backoff.failsOnSeveralMachines(context.steady)) wanted = minOf(wanted, 1)
+        if (job.backoff.failures > 0 && job.backoff.failsOnSeveralMachines(context.steady)) {
+            limitTo(1, HoldReason.FAILURE_BACKOFF)
+        }
         if (starvation.isServedFirst(job) && !job.gang) {
-            wanted = minOf(wanted, starvation.tasksFromCredit(job))
+            limitTo(starvation.tasksFromCredit(job), HoldReason.CREDIT_SHARE)
         } else if (order.mustLeaveUrgentHeadroom(job)) {
-            wanted = minOf(wanted, ((freeCpus - freeCapacity.urgentHeadroomCpus) / job.countedCpus).toInt())
+            val tasks = ((freeCpus - freeCapacity.urgentHeadroomCpus) / job.countedCpus).toInt()
+            limitTo(tasks, HoldReason.URGENT_HEADROOM)
         }
-        if (job.gang && (!job.tasks.noneLive || wanted < ready)) wanted = 0 // all at once or not at all
-        return wanted
+        // All at once or not at all.
+        if (job.gang && (!job.tasks.noneLive || wanted < ready)) limitTo(0, limit ?: HoldReason.GANG_INCOMPLETE)
+        return Demand(wanted, limit)
     }
 
     /** Places tasks, also in the headroom for services if the job may use it. */
--- a/src/main/kotlin/org/chalkhollow/runtime/Metrics.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Metrics.kt
@@ -73,6 +73,7 @@
         appendLine("chalkhollow_machines ${gauges.machines}")
         appendLine("chalkhollow_replicas_wanted ${gauges.replicas.wanted}")
         appendLine("chalkhollow_replicas_up ${gauges.replicas.up}")
+        for ((reason, tasks) in gauges.held) appendLine("chalkhollow_tasks_held{reason=\"${reason.metric}\"} $tasks")
         for ((label, version) in gauges.versions) {
             if (version != null) appendLine("chalkhollow_version{controller=\"$label\"} $version")
         }
--- a/src/test/kotlin/org/chalkhollow/simulation/FakeStateService.kt
+++ b/src/test/kotlin/org/chalkhollow/simulation/FakeStateService.kt
@@ -32,6 +32,9 @@
             refilledAtMs = clock.timeMs
         }
 
+    /** Transactions that change a key with this prefix are rejected; null for none. */
+    var rejectedPrefix: String? = null
+
     /** How many transactions were beyond the size limits in [loweredLimits]. */
     var rejectedCount = 0
         private set
@@ -170,6 +173,12 @@
 
     private fun commit(op: StateOp.Commit): StateReply {
         checkLoweredLimits(op)?.let { return it }
+        val prefix = rejectedPrefix
+        if (prefix != null &&
+            op.changes.any { it.key.startsWith(prefix) }
+        ) {
+            return StateReply.Rejected("$prefix is not accepted")
+        }
         check(
             op.changes.size <= limits.txnOps,
         ) { "transaction has ${op.changes.size} changes of at most ${limits.txnOps}" }
--- a/src/test/kotlin/org/chalkhollow/simulation/SimulatedController.kt
+++ b/src/test/kotlin/org/chalkhollow/simulation/SimulatedController.kt
@@ -6,6 +6,7 @@
 import org.chalkhollow.core.common.Input
 import org.chalkhollow.core.common.Now
 import org.chalkhollow.core.common.UserRequest
+import org.chalkhollow.core.operations.ControllerGauges
 import org.chalkhollow.core.operations.JobView
 import org.chalkhollow.core.operations.StatusView
 import org.chalkhollow.peer.Frames
@@ -51,6 +52,9 @@
 
     fun status(): StatusView? = controller?.status(now())
 
+    /** The gauges of the running process. */
+    val gauges: ControllerGauges get() = checkNotNull(controller) { "controller $label is not running" }.gauges
+
     fun jobStatus(id: String): JobView? = controller?.jobStatus(now(), id)
 
     private fun now() =
