An allocation whose row exceeds a dispatch marker gets several rows

Cause: a placement round gives one machine all tasks that fit, as one row of a dispatch marker, which lists them as index ranges. Tasks with gaps between them, as a lost machine leaves them over, take up to seven bytes each; 600 take more than a value of 2 KB, 3,000 more than one of 8 KB. DispatchMarkerBuilder left such a row out for the next round, which made the same row again, for ever: nothing else limits a row.

Change: the builder takes as many tasks of an allocation as fit into the marker and into the transaction, and goes on with the rest in the next marker or, as before, in the next round. Each round in which a task fits now records at least one, so the tasks that wait become fewer. If a single task does not fit under a limit that rejections have lowered, the limit is raised again.

--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -2,6 +2,7 @@
 
 import org.chalkhollow.core.cluster.Attempt
 import org.chalkhollow.core.cluster.DispatchMarker
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.fleet.Fleet
 import org.chalkhollow.core.jobs.JobTable
 import org.chalkhollow.core.storage.TransactionBudget
@@ -47,6 +48,8 @@
         val builder = DispatchMarkerBuilder(maxMarkerBytes, budget.ops, budget.bytes, ::nextMarker)
         val packed = builder.pack(allocations)
         for (left in builder.leftOut) events.onHeld(left.allocation, left.reason)
+        // The limit may be too low for a single task after rejections, and no success may be left to raise it.
+        if (builder.leftOut.any { it.reason == HoldReason.MARKER_ROW_TOO_LARGE }) raiseMarkerLimit()
         if (packed.isEmpty()) return null
         val attempts = reserve(packed)
         val recorded = packed.flatMap { it.allocations }
--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchMarkerBuilder.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchMarkerBuilder.kt
@@ -7,8 +7,10 @@
 
 /**
  * Packs one placement round's allocations into dispatch markers, in order, within the size limits of a value and of the
- * transaction. Allocations that do not fit are left out, and their tasks stay pending for the next round. All rows of a
- * gang are in one marker, or none is. Used by [DispatchLog] for one round and then discarded.
+ * transaction. An allocation whose row would exceed a marker gets several rows: its tasks can be scattered over so many
+ * index ranges that no marker could ever list them all. What does not fit into the transaction is left out, and its
+ * tasks stay pending for the next round. All rows of a gang are in one marker, or none is. Used by [DispatchLog] for
+ * one round and then discarded.
  */
 internal class DispatchMarkerBuilder(
     private val maxMarkerBytes: Int,
@@ -57,10 +59,11 @@
         for ((position, allocation) in allocations.withIndex()) {
             if (allocation.job.gang && isTooLargeGang(allocation.job)) {
                 leftOut.add(LeftOut(allocation, HoldReason.MARKER_GANG_TOO_LARGE))
-            } else if (!add(allocation)) {
-                leaveOut(allocations.subList(position, allocations.size))
-                break
+                continue
             }
+            val rest = add(allocation) ?: continue
+            leaveOut(listOf(rest) + allocations.drop(position + 1))
+            break
         }
         return packed
     }
@@ -89,24 +92,45 @@
     private fun markerBytes(gang: OpenJob): Int = gangBytes.getValue(gang) + MARKER_OVERHEAD_BYTES
 
     /**
-     * Adds [allocation], or leaves it out if its row exceeds a marker. Returns false if the transaction has no space
-     * for it or attempt numbers are used up. Later allocations are then left out too, so that none is started before
-     * it.
+     * Adds [allocation]. Returns null, or the part for which the transaction has no space or there is no attempt
+     * number. Later allocations are then left out too, so that none is started before it.
      */
-    private fun add(allocation: Allocation): Boolean {
+    private fun add(allocation: Allocation): Allocation? {
         val job = allocation.job
-        if (job.gang && currentGang !== job && !beginGang(job)) return false
-        val row = DispatchMarkerRecord.Row.of(allocation)
-        val rowBytes = row.bytes
-        if (rowBytes + MARKER_OVERHEAD_BYTES > maxMarkerBytes) {
-            leftOut.add(LeftOut(allocation, HoldReason.MARKER_ROW_TOO_LARGE))
-            return true
+        if (job.gang && currentGang !== job && !beginGang(job)) return allocation
+        var rest = allocation
+        while (true) {
+            val row = DispatchMarkerRecord.Row.of(rest)
+            if (row.bytes > markerSpace() && row.bytes <= newMarkerSpace) current = null
+            val space = minOf(markerSpace(), transactionSpace())
+            if (row.bytes <= space) return if (addRow(rest, row)) null else rest
+            val count = DispatchMarkerRecord.Row.countFitting(rest, space)
+            if (count > 0) {
+                val part = rest.take(count)
+                if (!addRow(part, DispatchMarkerRecord.Row.of(part))) return rest
+                rest = rest.drop(count)
+            } else if (current != null && markerSpace() < transactionSpace()) {
+                current = null
+            } else if (newMarkerSpace <= transactionSpace()) {
+                leftOut.add(LeftOut(rest, HoldReason.MARKER_ROW_TOO_LARGE))
+                return null
+            } else {
+                return rest
+            }
         }
-        if (current.let { it != null && it.bytes + rowBytes > maxMarkerBytes }) current = null
-        if (totalRowBytes + rowBytes + MARKER_OVERHEAD_BYTES > maxBytes) return false
+    }
+
+    private val newMarkerSpace: Int get() = maxMarkerBytes - MARKER_OVERHEAD_BYTES
+
+    private fun markerSpace(): Int = maxMarkerBytes - (current?.bytes ?: MARKER_OVERHEAD_BYTES)
+
+    private fun transactionSpace(): Int = maxBytes - totalRowBytes - MARKER_OVERHEAD_BYTES
+
+    /** Adds [row] of [allocation], which fits. Returns false if it needs another marker and there is none. */
+    private fun addRow(allocation: Allocation, row: DispatchMarkerRecord.Row): Boolean {
         val target = current ?: newMarker() ?: return false
-        target.add(allocation, row, rowBytes)
-        totalRowBytes += rowBytes
+        target.add(allocation, row, row.bytes)
+        totalRowBytes += row.bytes
         return true
     }
 
--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchMarkerRecord.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchMarkerRecord.kt
@@ -30,6 +30,12 @@
 
             fun of(allocation: Allocation) =
                 Row(allocation.job.spec.id, allocation.machine.name, IndexRanges.encode(allocation.tasks))
+
+            /** How many of the first tasks of [allocation] fit into a row of at most [maxBytes]. */
+            fun countFitting(allocation: Allocation, maxBytes: Int): Int {
+                val withoutTasks = Row(allocation.job.spec.id, allocation.machine.name, ranges = "")
+                return IndexRanges.countFitting(allocation.tasks, maxBytes - withoutTasks.bytes)
+            }
         }
     }
 
@@ -57,16 +63,41 @@
         val text = StringBuilder()
         var first = 0
         while (first < sorted.size) {
-            var last = first
-            while (last + 1 < sorted.size && sorted[last + 1] == sorted[last] + 1) last++
+            val last = endOfRun(sorted, first)
             if (text.isNotEmpty()) text.append(',')
-            text.append(sorted[first])
-            if (last > first) text.append('-').append(sorted[last])
+            text.append(encodeRun(sorted, first, last))
             first = last + 1
         }
         return text.toString()
     }
 
+    /**
+     * How many of the first indices [encode] turns into at most [maxChars] characters. Consecutive indices take hardly
+     * more than one, so they count only together.
+     */
+    fun countFitting(sorted: IntArray, maxChars: Int): Int {
+        var leftChars = maxChars
+        var first = 0
+        while (first < sorted.size) {
+            val last = endOfRun(sorted, first)
+            if (first > 0) leftChars--
+            leftChars -= encodeRun(sorted, first, last).length
+            if (leftChars < 0) return first
+            first = last + 1
+        }
+        return sorted.size
+    }
+
+    /** The position of the last of the consecutive indices that begin at position [first]. */
+    private fun endOfRun(sorted: IntArray, first: Int): Int {
+        var last = first
+        while (last + 1 < sorted.size && sorted[last + 1] == sorted[last] + 1) last++
+        return last
+    }
+
+    private fun encodeRun(sorted: IntArray, first: Int, last: Int): String =
+        if (last > first) "${sorted[first]}-${sorted[last]}" else "${sorted[first]}"
+
     fun decode(ranges: String): List<Int> =
         ranges.split(',').flatMap { part ->
             val first = part.substringBefore('-').toInt()
--- a/src/test/kotlin/org/chalkhollow/core/attempts/DispatchMarkerBuilderTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/attempts/DispatchMarkerBuilderTest.kt
@@ -1,6 +1,7 @@
 package org.chalkhollow.core.attempts
 
 import org.chalkhollow.core.cluster.DispatchMarker
+import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.cluster.Machine
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.core.common.EncodedSize
@@ -10,6 +11,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import java.util.SplittableRandom
 
 class DispatchMarkerBuilderTest {
     private val machine = Machine(0, "n-1")
@@ -47,11 +51,65 @@
         assertEquals(all.take(2).chunked(2), pack(allocations, maxMarkerBytes = twoRows, attemptNumbers = 1))
     }
 
+    // Guards against tasks that are never started: an allocation whose row exceeded a marker was left out each time.
     @Test
-    fun `a row that is too large for any marker is left out, and the rows after it are kept`() {
-        val scattered = allocation(array, *IntArray(50) { it * 2 })
-        val packed = pack(listOf(scattered, allocation(array, 1)), maxMarkerBytes = 160 + 2 * rowBytes)
-        assertEquals(listOf(listOf("array:1")), packed)
+    fun `a row that is too large for any marker is split over several, and the rows after it are kept`() {
+        val scattered = allocation(array, 0, 2, 4, 6, 8, 10)
+        // A row takes its first index and one more of one digit; an index of two digits needs a row of its own.
+        val packed = pack(listOf(scattered, allocation(array, 1)), maxMarkerBytes = 160 + rowBytes + 2)
+        val parts =
+            listOf(listOf("array:0,2"), listOf("array:4,6"), listOf("array:8"), listOf("array:10"), listOf("array:1"))
+        assertEquals(parts, packed)
+    }
+
+    @Test
+    fun `a task that exceeds a marker by itself is left out with its reason, and the rows after it are kept`() {
+        val longName = Machine(1, "n".repeat(300))
+        val unfit = Allocation(array, longName, intArrayOf(3), fromCredit = false)
+        val builder = DispatchMarkerBuilder(400, 10, 10_000) { DispatchMarker("mark/1", 1) }
+        val packed = builder.pack(listOf(unfit, allocation(array, 1)))
+        assertEquals(listOf(1), packed.single().allocations.map { it.tasks.single() })
+        assertEquals(listOf(HoldReason.MARKER_ROW_TOO_LARGE), builder.leftOut.map { it.reason })
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `every task of scattered arrays is packed in the end, whatever the gaps and the limits`(seed: Long) {
+        val random = SplittableRandom(seed)
+        repeat(40) {
+            val maxMarkerBytes = random.nextInt(512, 70_000)
+            val maxMarkers = random.nextInt(1, 12)
+            val gapPercent = random.nextInt(0, 100)
+            var pending =
+                List(random.nextInt(1, 20)) { index ->
+                    val tasks = IntArray(random.nextInt(1, 6000)) { it }.filter { random.nextInt(100) >= gapPercent }
+                    allocation(openJob("j-$index", tasks = 6000), *tasks.toIntArray())
+                }.filter { it.tasks.isNotEmpty() }
+            val wanted = pending.associate { it.job to it.tasks.toList() }
+            val packed = HashMap<OpenJob, ArrayList<Int>>()
+            var rounds = 0
+            while (pending.isNotEmpty()) {
+                check(++rounds < 10_000) { "no end with markers of $maxMarkerBytes bytes" }
+                var last = 0L
+                val maxBytes = random.nextInt(2000, 40_000)
+                val builder =
+                    DispatchMarkerBuilder(
+                        maxMarkerBytes,
+                        maxMarkers,
+                        maxBytes,
+                    ) { DispatchMarker("mark/${++last}", last) }
+                val markers = builder.pack(pending)
+                assertTrue(markers.isNotEmpty() && markers.size <= maxMarkers)
+                val sizes = markers.map { EncodedSize.of(it.change().value) }
+                assertTrue(sizes.all { it <= maxMarkerBytes }, "$sizes")
+                for (allocation in markers.flatMap { it.allocations }) {
+                    packed.getOrPut(allocation.job) { ArrayList() }.addAll(allocation.tasks.toList())
+                }
+                assertTrue(builder.leftOut.all { it.reason == HoldReason.TRANSACTION_FULL })
+                pending = builder.leftOut.map { it.allocation }
+            }
+            assertEquals(wanted, packed.toMap())
+        }
     }
 
     @Test
