A gang may have more dispatch markers than one, written over several transactions

What callers would see: a gang accepted and queued for good beside idle machines.

Cause: a gang has a row for each of its machines, and all rows had to be in one marker and in half of a transaction. A gang on more than about 47 machines (limits of 2 KB) or 200 (8 KB) never fitted, was left out each round, and counted as placed each time. After a rejection had lowered the marker limit, smaller gangs waited too, and nothing raised the limit.

Change: DispatchLog reserves the whole gang at once and writes its markers one by one, in turn with placement rounds; GangDispatch starts the tasks when the last marker is durable. If one is rejected, the gang is withdrawn as a whole and placed again with smaller markers; markers that are durable by then list attempts that were never started, as after a leader's crash, and are removed. A crash of the leader in between leaves markers that its successor resolves by heartbeats, as before. Stored forms are unchanged. The builder knows no gangs any more.

Tests: WideGangTest, seen red on the code before in all four sizes (80 to 300 machines, limits of 1 to 8 KB, left_waiting after 90 s); a leader that crashes after the first markers; limits that were not announced; GangDispatchTest. The test of the builder that expected a gang to be in one marker or in none stated the fault; that a gang starts as a whole or not at all is what GangDispatchTest checks now.

--- a/src/main/kotlin/org/chalkhollow/core/PlacementStep.kt
+++ b/src/main/kotlin/org/chalkhollow/core/PlacementStep.kt
@@ -26,8 +26,17 @@
     /** [CoreContext.changes] when the last round ran. */
     private var changesAtLastRound = -1L
 
+    /** Whether the last write came from a round, so that rounds and markers of gangs take turns. */
+    private var isGangNext = false
+
     override fun next(budget: TransactionBudget): Write? {
-        if (!term.recordsLoaded || budget.ops < 1 || !isDue()) return null
+        if (!term.recordsLoaded || budget.ops < 1) return null
+        if (dispatch.hasGangWrites && (isGangNext || !isDue())) {
+            isGangNext = false
+            return dispatch.nextGangWrite(budget)
+        }
+        if (!isDue()) return null
+        isGangNext = true
         changesAtLastRound = context.changes
         nextRoundAtMs = context.steady + ROUND_INTERVAL_MS + context.overload.tickDelayMs * EXTRA_MS_PER_TICK_DELAY_MS
         val allocations = placement.round()
--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -5,6 +5,7 @@
 import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.fleet.Fleet
 import org.chalkhollow.core.jobs.JobTable
+import org.chalkhollow.core.jobs.fits
 import org.chalkhollow.core.storage.TransactionBudget
 import org.chalkhollow.core.storage.Write
 import org.chalkhollow.model.Change
@@ -24,6 +25,9 @@
 ) {
     /** Keys of markers that no attempt needs. */
     private val removableKeys = ArrayDeque<String>()
+
+    /** Writes of the markers of gangs, in the order of their rounds. */
+    private val gangWrites = ArrayDeque<Write>()
     private var fencingToken = 0L
     private var markerCount = 0L
 
@@ -38,31 +42,80 @@
         markerCount = 0
         maxMarkerBytes = limits.valueBytes
         removableKeys.clear()
+        gangWrites.clear()
+    }
+
+    /** Tasks whose markers are written together, and their attempts. */
+    private inner class Dispatch(packed: List<DispatchMarkerBuilder.PackedMarker>, private val events: DispatchEvents) {
+        private val allocations = packed.flatMap { it.allocations }
+        private val attempts = reserve(packed)
+        val changes = packed.map { it.change() }
+
+        init {
+            events.onDispatching(allocations)
+        }
+
+        fun onDurable() {
+            raiseMarkerLimit()
+            events.onDispatched(allocations)
+            reconciler.onMarkersPersisted(attempts)
+        }
+
+        fun onRejected() {
+            reconciler.onMarkersRejected(attempts)
+            events.onRejected(allocations)
+        }
     }
 
+    /** Whether markers of gangs whose tasks are reserved are still to be written. */
+    val hasGangWrites: Boolean get() = gangWrites.isNotEmpty()
+
     /**
-     * Reserves the [allocations] that fit into [budget] and returns the write of their markers; null if none fits.
-     * Tasks that do not fit stay pending for the next round. [events] are told what becomes of each allocation.
+     * Reserves the [allocations] that fit into [budget] and returns the write of their markers; null if there is none.
+     * Tasks that do not fit stay pending for the next round. Gangs are reserved as a whole; what the budget does not
+     * suffice for is returned by [nextGangWrite]. [events] are told what becomes of each allocation.
      */
     fun prepareMarkerWrite(allocations: List<Allocation>, budget: TransactionBudget, events: DispatchEvents): Write? {
+        val (ofGangs, others) = allocations.partition { it.job.gang }
+        for (gang in ofGangs.groupBy { it.job }.values) beginGang(gang, events)
+        return markerWrite(others, budget, events) ?: nextGangWrite(budget)
+    }
+
+    private fun markerWrite(allocations: List<Allocation>, budget: TransactionBudget, events: DispatchEvents): Write? {
         val builder = DispatchMarkerBuilder(maxMarkerBytes, budget.ops, budget.bytes, ::nextMarker)
         val packed = builder.pack(allocations)
-        for (left in builder.leftOut) events.onHeld(left.allocation, left.reason)
-        // The limit may be too low for a single task after rejections, and no success may be left to raise it.
-        if (builder.leftOut.any { it.reason == HoldReason.MARKER_ROW_TOO_LARGE }) raiseMarkerLimit()
+        hold(builder.leftOut, events)
         if (packed.isEmpty()) return null
-        val attempts = reserve(packed)
-        val recorded = packed.flatMap { it.allocations }
-        events.onDispatching(recorded)
-        return Write(packed.map { it.change() }, onRejected = {
+        val dispatch = Dispatch(packed, events)
+        val onRejected = {
             if (packed.size == 1) lowerMarkerLimit() // with several markers, their number was too high
-            reconciler.onMarkersRejected(attempts)
-            events.onRejected(recorded)
-        }) {
-            raiseMarkerLimit()
-            events.onDispatched(recorded)
-            reconciler.onMarkersPersisted(attempts)
+            dispatch.onRejected()
         }
+        return Write(dispatch.changes, onRejected, dispatch::onDurable)
+    }
+
+    /** Reserves a gang, whose tasks are started when all its markers are durable; holds it if one task does not fit. */
+    private fun beginGang(allocations: List<Allocation>, events: DispatchEvents) {
+        val builder = DispatchMarkerBuilder(maxMarkerBytes, Int.MAX_VALUE, Int.MAX_VALUE, ::nextMarker)
+        val packed = builder.pack(allocations)
+        if (builder.leftOut.isNotEmpty()) return hold(builder.leftOut, events)
+        val dispatch = Dispatch(packed, events)
+        val onRejected = { gang: GangDispatch ->
+            gangWrites.removeAll(gang.writes)
+            lowerMarkerLimit()
+            dispatch.onRejected()
+        }
+        gangWrites.addAll(GangDispatch(dispatch.changes, dispatch::onDurable, onRejected).writes)
+    }
+
+    /** Returns the write of the next marker of a gang, if it fits into [budget]; else null. */
+    fun nextGangWrite(budget: TransactionBudget): Write? =
+        if (gangWrites.firstOrNull()?.fits(budget) == true) gangWrites.removeFirst() else null
+
+    private fun hold(leftOut: List<DispatchMarkerBuilder.LeftOut>, events: DispatchEvents) {
+        for (left in leftOut) events.onHeld(left.allocation, left.reason)
+        // The limit may be too low for a single task after rejections, and no success may be left to raise it.
+        if (leftOut.any { it.reason == HoldReason.MARKER_ROW_TOO_LARGE }) raiseMarkerLimit()
     }
 
     private fun reserve(packed: List<DispatchMarkerBuilder.PackedMarker>): List<Attempt> {
--- a/src/main/kotlin/org/chalkhollow/core/cluster/PlacementHold.kt
+++ b/src/main/kotlin/org/chalkhollow/core/cluster/PlacementHold.kt
@@ -16,7 +16,6 @@
 
     /** One task alone exceeds the largest dispatch marker. */
     MARKER_ROW_TOO_LARGE("marker_row_too_large", "its dispatch marker row is larger than a value may be"),
-    MARKER_GANG_TOO_LARGE("marker_gang_too_large", "the dispatch marker rows of the gang do not fit into one value"),
     TRANSACTION_FULL("transaction_full", "its dispatch marker did not fit into the last transaction"),
     ATTEMPT_NUMBERS_EXHAUSTED("attempt_numbers", "the attempt numbers of this fencing token are used up"),
     MARKER_REJECTED("marker_rejected", "the state service rejected its dispatch marker"),
