A record is never larger than a transaction can take

What callers would see, with value_kb of 40 and more (no published deployment has that): a job whose record exceeds 40 KB is never answered, and neither is any submission after it; the static machines and image locations are never stored, so that the second leader returns the operators' own machines.

Change: StateLimits.recordBytes, at most 32 KiB, bounds every record. With published limits nothing changes.

--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -32,7 +32,7 @@
     private var markerCount = 0L
 
     /** Size limit of a marker: the state service's limit, or less after it has rejected a marker. */
-    private var maxMarkerBytes = limits.valueBytes
+    private var maxMarkerBytes = limits.recordBytes
 
     /** Whether all attempt numbers of this fencing token are used; the next token has new ones. */
     val attemptNumbersExhausted: Boolean get() = markerCount >= MARKERS_PER_TOKEN - 1
@@ -40,7 +40,7 @@
     fun start(newFencingToken: Long) {
         fencingToken = newFencingToken
         markerCount = 0
-        maxMarkerBytes = limits.valueBytes
+        maxMarkerBytes = limits.recordBytes
         removableKeys.clear()
         gangWrites.clear()
     }
@@ -152,8 +152,8 @@
     }
 
     private fun raiseMarkerLimit() {
-        if (maxMarkerBytes >= limits.valueBytes) return
-        maxMarkerBytes = minOf(limits.valueBytes, maxMarkerBytes + maxMarkerBytes / GROWTH_DIVISOR)
+        if (maxMarkerBytes >= limits.recordBytes) return
+        maxMarkerBytes = minOf(limits.recordBytes, maxMarkerBytes + maxMarkerBytes / GROWTH_DIVISOR)
     }
 
     /** One of the attempts that [marker] lists no longer needs it. */
--- a/src/main/kotlin/org/chalkhollow/core/fleet/ImageLocations.kt
+++ b/src/main/kotlin/org/chalkhollow/core/fleet/ImageLocations.kt
@@ -30,7 +30,7 @@
     private var nextPage = 0
 
     /** A page is one value; each machine takes about [TYPICAL_MACHINE_BYTES] of it. */
-    private val machinesPerPage = maxOf(1, limits.valueBytes / TYPICAL_MACHINE_BYTES)
+    private val machinesPerPage = maxOf(1, limits.recordBytes / TYPICAL_MACHINE_BYTES)
     private val writtenPages = HashMap<Int, Map<String, Any?>>()
 
     /** Pages that an earlier leader wrote, perhaps with another page size; they are rewritten or removed. */
@@ -72,7 +72,7 @@
      * written at a time, since these writes must not displace those that users wait for.
      */
     fun next(budget: TransactionBudget): Write? {
-        if (budget.ops < 1 || budget.bytes < limits.valueBytes) return null
+        if (budget.ops < 1 || budget.bytes < limits.recordBytes) return null
         val pages = (names.machines.size + machinesPerPage - 1) / machinesPerPage
         if (pages == 0 || context.steady - lastWriteAtMs < maxOf(MIN_INTERVAL_MS, ALL_PAGES_MS / pages)) return null
         lastWriteAtMs = context.steady
@@ -113,7 +113,7 @@
             val newImages = machine.cachedImages.filter { it !in images }
             val newBytes = newImages.sumOf { EncodedSize.of(names.images.name(it)) + 1 }
             bytes += EncodedSize.of(machine.name) + MACHINE_BYTES + machine.cachedImages.size * INDEX_BYTES + newBytes
-            if (bytes > limits.valueBytes) return false
+            if (bytes > limits.recordBytes) return false
             val indices = machine.cachedImages.map { image -> images.getOrPut(image) { images.size }.toLong() }
             indicesByMachine[machine.name] = listOf(machine.lease.epoch) + indices
             return true
--- a/src/main/kotlin/org/chalkhollow/core/fleet/StaticMachines.kt
+++ b/src/main/kotlin/org/chalkhollow/core/fleet/StaticMachines.kt
@@ -53,7 +53,7 @@
      * ignore.
      */
     private fun write(sorted: List<String>): Write {
-        val valueBytes = limits.valueBytes - VALUE_OVERHEAD_BYTES
+        val valueBytes = limits.recordBytes - VALUE_OVERHEAD_BYTES
         if (sorted.sumOf(::encodedBytes) < valueBytes) return write(sorted, emptyList())
         val runsBytes = valueBytes / RUNS_DIVISOR
         val plain = takeFitting(valueBytes - runsBytes, sorted, ::encodedBytes)
@@ -91,7 +91,7 @@
     /** The pending write, if it fits into [budget]; else null. */
     fun next(budget: TransactionBudget): Write? {
         val write = pendingWrite ?: return null
-        if (budget.ops < 1 || budget.bytes < limits.valueBytes) return null
+        if (budget.ops < 1 || budget.bytes < limits.recordBytes) return null
         pendingWrite = null
         return write
     }
--- a/src/main/kotlin/org/chalkhollow/core/jobs/JobCancellation.kt
+++ b/src/main/kotlin/org/chalkhollow/core/jobs/JobCancellation.kt
@@ -15,7 +15,7 @@
     /** Queues the cancellation of an open job; [onDurable] runs once it is durable. */
     fun cancel(job: OpenJob, onDurable: () -> Unit) {
         job.beginCancellation()
-        writeAnyOf(job, JobRecord.encodeCancelled(job.spec, limits.valueBytes), onDurable)
+        writeAnyOf(job, JobRecord.encodeCancelled(job.spec, limits.recordBytes), onDurable)
     }
 
     private fun writeAnyOf(job: OpenJob, records: List<Map<String, Any?>>, onDurable: () -> Unit) {
--- a/src/main/kotlin/org/chalkhollow/core/jobs/JobTable.kt
+++ b/src/main/kotlin/org/chalkhollow/core/jobs/JobTable.kt
@@ -49,7 +49,7 @@
     }
 
     /** Whether the record of [spec] fits into one value of the state service. */
-    fun recordFits(spec: JobSpec): Boolean = EncodedSize.of(JobRecord.encodeOpen(spec, 0)) <= limits.valueBytes
+    fun recordFits(spec: JobSpec): Boolean = EncodedSize.of(JobRecord.encodeOpen(spec, 0)) <= limits.recordBytes
 
     /**
      * Queues the record of a new job. [onAccepted] runs when the record is durable, [onRejected] when the state service
--- a/src/main/kotlin/org/chalkhollow/settings/PlatformSettings.kt
+++ b/src/main/kotlin/org/chalkhollow/settings/PlatformSettings.kt
@@ -28,6 +28,16 @@
             minOf(valueBytes, other.valueBytes),
             minOf(txnOps, other.txnOps),
         )
+
+    /**
+     * The size in bytes that a record which this program writes may have: [valueBytes], or less if such a value would
+     * leave no space for the other changes of a transaction, which has 64 KiB altogether.
+     */
+    val recordBytes: Int get() = minOf(valueBytes, MAX_RECORD_BYTES)
+
+    private companion object {
+        const val MAX_RECORD_BYTES = 32 * 1024
+    }
 }
 
 /**
