Tasks count as placed when their markers are durable, not when they are allocated

What callers saw: nothing helped a job whose tasks were allocated and left out each round.

Cause: PlacementRound counted allocations as placed, used up credit and ended the job's wait before DispatchLog had decided which of them go into a marker, and before the state service had taken it.

Change: StarvationPrevention counts dispatched allocations; a round only subtracts from what it may still give on credit. No round runs while a marker is being written, but for those of gangs, whose tasks are not ready then, so nothing is counted twice.

--- a/src/main/kotlin/org/chalkhollow/core/cluster/FairShareCredit.kt
+++ b/src/main/kotlin/org/chalkhollow/core/cluster/FairShareCredit.kt
@@ -3,7 +3,7 @@
 /**
  * Owns when tasks of a job were last placed, and the credit that the job gets for being passed over. All times are
  * wall-clock times, because a new leader counts from the stored time at which the job was accepted. Written by
- * `StarvationPrevention` and, for [allPlaced], by `PlacementRound`.
+ * `StarvationPrevention`.
  */
 class FairShareCredit(acceptedWallMs: Long) {
     /** CPUs that the job may allocate before jobs without credit; 0 without credit. */
--- a/src/main/kotlin/org/chalkhollow/core/placement/Placement.kt
+++ b/src/main/kotlin/org/chalkhollow/core/placement/Placement.kt
@@ -104,6 +104,7 @@
         for (allocation in allocations) {
             val job = allocation.job
             job.hold.onDispatched(allocation.tasks.size, job.tasks.noneReady, context.steady)
+            starvation.onDispatched(allocation)
         }
     }
 
--- a/src/main/kotlin/org/chalkhollow/core/placement/PlacementRound.kt
+++ b/src/main/kotlin/org/chalkhollow/core/placement/PlacementRound.kt
@@ -98,7 +98,6 @@
         val wanted = if (cachedImageOnly && inOnePass) 0 else demand.tasks
         val placed = if (wanted > 0) placeWithHeadroom(job, wanted, cachedImageOnly) else 0
         if (placed > 0) recordPlaced(job, placed)
-        if (placed == ready) job.credit.allPlaced(context.now.wall)
         if (cachedImageOnly || placed == ready) return
         job.hold.hold(holdReason(demand, placed), context.steady)
         if (placed < withinQuota) recordUnplaced(job, withinQuota - placed, canBePressing = wanted > 0)
@@ -192,7 +191,7 @@
     private fun recordPlaced(job: OpenJob, placed: Int) {
         freeCpus -= placed * job.taskResources.cpus
         allocatedTasks.merge(job, placed, Int::plus)
-        starvation.onPlaced(job, placed)
+        starvation.onAllocated(job, placed)
         allocatedCpusByTeam.merge(job.team, placed * job.taskResources.cpus, Double::plus)
         allocatedGpusByTeam.merge(job.team, placed * job.taskResources.gpus, Double::plus)
     }
--- a/src/main/kotlin/org/chalkhollow/core/placement/StarvationPrevention.kt
+++ b/src/main/kotlin/org/chalkhollow/core/placement/StarvationPrevention.kt
@@ -1,5 +1,6 @@
 package org.chalkhollow.core.placement
 
+import org.chalkhollow.core.attempts.Allocation
 import org.chalkhollow.core.attempts.AttemptReconciler
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.core.common.CoreContext
@@ -68,17 +69,27 @@
     fun tasksFromCredit(job: OpenJob): Int =
         maxOf(1, (minOf(job.credit.cpus, creditCpusLeft) / job.countedCpus).toInt())
 
-    fun onPlaced(job: OpenJob, tasks: Int) {
+    /** This round has allocated [tasks] tasks of [job]. */
+    fun onAllocated(job: OpenJob, tasks: Int) {
+        if (isServedFirst(job)) creditCpusLeft -= tasks * job.taskResources.cpus
+    }
+
+    /**
+     * The tasks of [allocation] may be started. Only now do they use up credit and end the job's wait. An earlier
+     * version counted them when they were allocated, and a job whose tasks were never dispatched got no credit.
+     */
+    fun onDispatched(allocation: Allocation) {
+        val job = allocation.job
         val now = context.now.wall
-        val cpus = tasks * job.taskResources.cpus
         val kind = Kind(job)
         if (lastPlacedWallMs.size > MAX_KINDS) {
             lastPlacedWallMs.clear()
             lastPlacedWithoutCreditWallMs.clear()
         }
         lastPlacedWallMs[kind] = now
-        if (isServedFirst(job)) creditCpusLeft -= cpus else lastPlacedWithoutCreditWallMs[kind] = now
-        job.credit.placed(cpus, now)
+        if (!allocation.fromCredit) lastPlacedWithoutCreditWallMs[kind] = now
+        job.credit.placed(allocation.tasks.size * job.taskResources.cpus, now)
+        if (job.tasks.noneReady) job.credit.allPlaced(now)
     }
 
     private companion object {
