The dispatch markers of a round can be written one by one

What callers would see: after the write rate of the state service had fallen without announcement, nothing started any more and no job was accepted, for good.

Cause: the markers of one round, up to eleven, were one write, which was never separated. If the service takes fewer changes at once than it has, it is throttled at every try, and it holds up all other writes.

Change: a write may have parts, which take its place when its transaction is split for its size or for the rate. The markers of a round are such parts; each is rejected or durable by itself. A transaction that is taken as before is written as before.

Test: ScatteredTasksTest, `tasks left over by a lost machine run again under a write rate that was not announced`, red on the code before (left_waiting after 90 s).

--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -45,27 +45,8 @@
         gangWrites.clear()
     }
 
-    /** Tasks whose markers are written together, and their attempts. */
-    private inner class Dispatch(packed: List<DispatchMarkerBuilder.PackedMarker>, private val events: DispatchEvents) {
-        private val allocations = packed.flatMap { it.allocations }
-        private val attempts = reserve(packed)
-        val changes = packed.map { it.change() }
-
-        init {
-            events.onDispatching(allocations)
-        }
-
-        fun onDurable() {
-            raiseMarkerLimit()
-            events.onDispatched(allocations)
-            reconciler.onMarkersPersisted(attempts)
-        }
-
-        fun onRejected() {
-            reconciler.onMarkersRejected(attempts)
-            events.onRejected(allocations)
-        }
-    }
+    /** A marker whose tasks are reserved, and the write of which is pending. */
+    private class ReservedMarker(val change: Change, val allocations: List<Allocation>, val attempts: List<Attempt>)
 
     /** Whether markers of gangs whose tasks are reserved are still to be written. */
     val hasGangWrites: Boolean get() = gangWrites.isNotEmpty()
@@ -86,12 +67,31 @@
         val packed = builder.pack(allocations)
         hold(builder.leftOut, events)
         if (packed.isEmpty()) return null
-        val dispatch = Dispatch(packed, events)
-        val onRejected = {
-            if (packed.size == 1) lowerMarkerLimit() // with several markers, their number was too high
-            dispatch.onRejected()
-        }
-        return Write(dispatch.changes, onRejected, dispatch::onDurable)
+        val markers = reserve(packed, events)
+        return Write(
+            markers.map { it.change },
+            onRejected = { onRejected(markers, events) },
+            parts =
+                markers.map {
+                    Write(
+                        listOf(it.change),
+                        { onRejected(listOf(it), events) },
+                    ) { onDurable(listOf(it), events) }
+                },
+            onDurable = { onDurable(markers, events) },
+        )
+    }
+
+    private fun onDurable(markers: List<ReservedMarker>, events: DispatchEvents) {
+        raiseMarkerLimit()
+        events.onDispatched(markers.flatMap { it.allocations })
+        reconciler.onMarkersPersisted(markers.flatMap { it.attempts })
+    }
+
+    private fun onRejected(markers: List<ReservedMarker>, events: DispatchEvents) {
+        lowerMarkerLimit()
+        reconciler.onMarkersRejected(markers.flatMap { it.attempts })
+        events.onRejected(markers.flatMap { it.allocations })
     }
 
     /** Reserves a gang, whose tasks are started when all its markers are durable; holds it if one task does not fit. */
@@ -99,13 +99,12 @@
         val builder = DispatchMarkerBuilder(maxMarkerBytes, Int.MAX_VALUE, Int.MAX_VALUE, ::nextMarker)
         val packed = builder.pack(allocations)
         if (builder.leftOut.isNotEmpty()) return hold(builder.leftOut, events)
-        val dispatch = Dispatch(packed, events)
+        val markers = reserve(packed, events)
         val onRejected = { gang: GangDispatch ->
             gangWrites.removeAll(gang.writes)
-            lowerMarkerLimit()
-            dispatch.onRejected()
+            onRejected(markers, events)
         }
-        gangWrites.addAll(GangDispatch(dispatch.changes, dispatch::onDurable, onRejected).writes)
+        gangWrites.addAll(GangDispatch(markers.map { it.change }, { onDurable(markers, events) }, onRejected).writes)
     }
 
     /** Returns the write of the next marker of a gang, if it fits into [budget]; else null. */
@@ -118,14 +117,15 @@
         if (leftOut.any { it.reason == HoldReason.MARKER_ROW_TOO_LARGE }) raiseMarkerLimit()
     }
 
-    private fun reserve(packed: List<DispatchMarkerBuilder.PackedMarker>): List<Attempt> {
-        val attempts = ArrayList<Attempt>()
-        for (entry in packed) {
-            for (allocation in entry.allocations) {
-                for (index in allocation.tasks) attempts.add(reserve(allocation, index, entry.marker))
-            }
+    private fun reserve(
+        packed: List<DispatchMarkerBuilder.PackedMarker>,
+        events: DispatchEvents,
+    ): List<ReservedMarker> {
+        events.onDispatching(packed.flatMap { it.allocations })
+        return packed.map { entry ->
+            val attempts = entry.allocations.flatMap { a -> a.tasks.map { index -> reserve(a, index, entry.marker) } }
+            ReservedMarker(entry.change(), entry.allocations, attempts)
         }
-        return attempts
     }
 
     private fun reserve(allocation: Allocation, index: Int, marker: DispatchMarker): Attempt =
--- a/src/main/kotlin/org/chalkhollow/core/attempts/GangDispatch.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/GangDispatch.kt
@@ -17,7 +17,10 @@
     private var unwritten = changes.size
     private var rejected = false
 
-    val writes: List<Write> = changes.map { Write(listOf(it), ::onMarkerRejected, ::onMarkerDurable) }
+    val writes: List<Write> =
+        changes.map {
+            Write(listOf(it), onRejected = ::onMarkerRejected, onDurable = ::onMarkerDurable)
+        }
 
     private fun onMarkerDurable() {
         unwritten--
--- a/src/main/kotlin/org/chalkhollow/core/storage/StateWriter.kt
+++ b/src/main/kotlin/org/chalkhollow/core/storage/StateWriter.kt
@@ -154,7 +154,7 @@
         noteFailure(context.steady)
         transaction.unavailableCount++
         when {
-            transaction.writes.size < 2 || transaction.unavailableCount % SPLIT_AFTER_UNAVAILABLE_COUNT != 0 ->
+            transaction.parts.size < 2 || transaction.unavailableCount % SPLIT_AFTER_UNAVAILABLE_COUNT != 0 ->
                 retryAfter(
                     transaction,
                     if (transaction.unavailableCount > SPLIT_AFTER_UNAVAILABLE_COUNT) RETRY_MS * 2 else RETRY_MS,
@@ -183,7 +183,7 @@
     private fun dropOrSplit(transaction: Transaction) {
         splitter.learnFromRejection(transaction)
         inFlight = null
-        if (transaction.writes.size > 1) {
+        if (transaction.parts.size > 1) {
             splitter.splitForSize(transaction)
         } else {
             transaction.writes.single().onRejected()
--- a/src/main/kotlin/org/chalkhollow/core/storage/Transaction.kt
+++ b/src/main/kotlin/org/chalkhollow/core/storage/Transaction.kt
@@ -7,6 +7,9 @@
     /** Number of changes, including that of the leadership record. */
     val size: Int get() = commit.changes.size
 
+    /** The smallest writes into which it can be split. */
+    val parts: List<Write> get() = writes.flatMap { write -> write.parts.ifEmpty { listOf(write) } }
+
     /** Whether it was sent without getting a reply, so that it may have been applied. */
     var outcomeUnknown = false
 
--- a/src/main/kotlin/org/chalkhollow/core/storage/TransactionSplitter.kt
+++ b/src/main/kotlin/org/chalkhollow/core/storage/TransactionSplitter.kt
@@ -31,7 +31,7 @@
 
     /** [transaction] was rejected. A transaction with a single change shows nothing about the limit on changes. */
     fun learnFromRejection(transaction: Transaction) {
-        if (transaction.writes.size > 1 || transaction.size > 2) learnedMaxOps = maxOf(1, (transaction.size - 1) / 2)
+        if (transaction.size > 2) learnedMaxOps = maxOf(1, (transaction.size - 1) / 2)
     }
 
     fun onCommitted() {
@@ -39,7 +39,7 @@
     }
 
     /** Halves a transaction that was rejected for its size. */
-    fun splitForSize(transaction: Transaction) = split(transaction, (transaction.writes.size + 1) / 2)
+    fun splitForSize(transaction: Transaction) = split(transaction.parts) { (it + 1) / 2 }
 
     /**
      * Splits a transaction that was repeatedly not executed: it may have more changes than the service's rate limit
@@ -47,11 +47,11 @@
      */
     fun splitForRate(transaction: Transaction, retryMs: Long) {
         nextPartAtMs = context.steady + retryMs
-        split(transaction, maxOf(1, transaction.writes.size / RATE_SPLIT_PARTS))
+        split(transaction.parts) { maxOf(1, it / RATE_SPLIT_PARTS) }
     }
 
-    private fun split(transaction: Transaction, writesPerPart: Int) {
-        for (part in transaction.writes.chunked(writesPerPart).asReversed()) parts.addFirst(part)
+    private fun split(writes: List<Write>, writesPerPart: (Int) -> Int) {
+        for (part in writes.chunked(writesPerPart(writes.size)).asReversed()) parts.addFirst(part)
     }
 
     private companion object {
--- a/src/test/kotlin/org/chalkhollow/ScatteredTasksTest.kt
+++ b/src/test/kotlin/org/chalkhollow/ScatteredTasksTest.kt
@@ -97,6 +97,16 @@
         assertTrue(simulation.state.rejectedCount > 0, "no marker was rejected")
     }
 
+    // Guards against markers that are throttled forever: those of one round could be written only all at once.
+    @Test
+    fun `tasks left over by a lost machine run again under a write rate that was not announced`() {
+        val simulation = simulationWith(22, StateLimits(80.0, 20.0, 1024, 12))
+        simulation.clock.after(31_000) { simulation.state.loweredLimits = StateLimits(80.0, 6.0, 1024, 12) }
+        loseMachineOfArray(simulation, tasks = 6000, fromMs = 10_000)
+        assertAllDone(simulation, faultFreeFromMs = 47_000)
+        assertTrue(simulation.state.throttledCount > 0, "no marker was throttled")
+    }
+
     private companion object {
         /** A little less than the CPUs of two machines. */
         const val TWO_MACHINES_CPUS = 15.75
