A direct command carries as many commands as a response to a heartbeat

A worker that refuses it gets its tasks only with its next heartbeats.

Change: at most 400 commands, as in a response, which takes less than 64 KiB with the longest ids.

Test: ScatteredTasksTest, `direct commands and responses carry a bounded number of commands`, red on the code before.

--- a/src/main/kotlin/org/chalkhollow/core/attempts/CommandPlanner.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/CommandPlanner.kt
@@ -18,11 +18,11 @@
     fun commandsForResponse(machine: Machine, startsAllowed: Boolean): List<Command> {
         val commands = ArrayList<Command>()
         for (attempt in ArrayList(machine.attempts)) { // copied, since firstStart may remove the attempt
-            if (commands.size >= MAX_COMMANDS_PER_RESPONSE) break
+            if (commands.size >= MAX_COMMANDS) break
             commandFor(attempt, startsAllowed)?.let(commands::add)
         }
         for (task in machine.orphans) {
-            if (commands.size >= MAX_COMMANDS_PER_RESPONSE) break
+            if (commands.size >= MAX_COMMANDS) break
             commands.add(removeOrphan(task))
         }
         machine.orphans = emptyList()
@@ -97,11 +97,14 @@
             Command.Stop(task.jobId, task.index, task.attempt, 0.0)
         }
 
-    private companion object {
-        /** Limits the size of a response; the remaining commands are sent with the next one. */
-        const val MAX_COMMANDS_PER_RESPONSE = 400
+    companion object {
+        /**
+         * Most commands in a response or a direct command, which may have 64 KiB: with the longest ids and numbers, a
+         * command takes less than 160 bytes. The remaining commands are sent with the next one.
+         */
+        const val MAX_COMMANDS = 400
 
         /** Saving may take longer than the job's `saveS` estimate. */
-        const val SAVE_MARGIN_S = 1.0
+        private const val SAVE_MARGIN_S = 1.0
     }
 }
--- a/src/main/kotlin/org/chalkhollow/core/attempts/WorkerCommandSender.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/WorkerCommandSender.kt
@@ -46,14 +46,15 @@
     }
 
     /**
-     * Sends stops, and starts whose marker is durable, directly to the worker; the response to its next heartbeat
-     * repeats them. A direct command takes many times the processor time of a heartbeat response, so under overload
-     * starts are left to the responses.
+     * Sends stops, and starts whose marker is durable, directly to the worker, as many as one request may carry. The
+     * response to its next heartbeat repeats them. A direct command takes many times the processor time of a heartbeat
+     * response, so under overload starts are left to the responses.
      */
     fun send(machine: Machine) {
         if (!leadership.mayActAsLeader() || !canSendTo(machine)) return
-        val starts = if (context.overload.overloaded) emptyList() else machine.attempts.filter(::mayStart)
-        val stops = machine.attempts.filter(::mayStop)
+        val stops = machine.attempts.filter(::mayStop).take(CommandPlanner.MAX_COMMANDS)
+        val maxStarts = if (context.overload.overloaded) 0 else CommandPlanner.MAX_COMMANDS - stops.size
+        val starts = machine.attempts.filter(::mayStart).take(maxStarts)
         if (starts.isEmpty() && stops.isEmpty()) return
         for (attempt in stops) attempt.stopSentDirectly() // only once; responses to heartbeats repeat it
         for (attempt in starts) attempt.startSentDirectly()
--- a/src/test/kotlin/org/chalkhollow/ScatteredTasksTest.kt
+++ b/src/test/kotlin/org/chalkhollow/ScatteredTasksTest.kt
@@ -1,5 +1,7 @@
 package org.chalkhollow
 
+import org.chalkhollow.core.attempts.CommandPlanner
+import org.chalkhollow.core.common.Effect
 import org.chalkhollow.model.JobSpec
 import org.chalkhollow.model.Priority
 import org.chalkhollow.model.Resources
@@ -107,6 +109,18 @@
         assertTrue(simulation.state.throttledCount > 0, "no marker was throttled")
     }
 
+    // PROTOCOL allows a request of 64 KiB; all starts of a machine went out in one direct command.
+    @Test
+    fun `direct commands and responses carry a bounded number of commands`() {
+        val simulation = simulationWith(23, currentLimits)
+        var most = 0
+        simulation.onEffect =
+            { _, _, effect -> if (effect is Effect.WorkerCommand) most = maxOf(most, effect.commands.size) }
+        simulation.clock.after(10_000) { simulation.users.submit { it.asScatteredArray(3000) } }
+        assertAllDone(simulation, faultFreeFromMs = 20_000)
+        assertTrue(most in 100..CommandPlanner.MAX_COMMANDS, "$most commands in one request")
+    }
+
     private companion object {
         /** A little less than the CPUs of two machines. */
         const val TWO_MACHINES_CPUS = 15.75
