A machine with many cached images does not hide the others of its page

Cause: a page of image locations ended at the first machine whose images did not fit into the value, at each writing, so that the machines after it in the page were never stored and a new leader had them fetch images again.

Change: only the machine that does not fit is left out. The write of dispatch markers and its parts are made in one place.

Test: ImageLocationsTest, `a machine whose images do not fit into a page does not hide the machines after it`, red on the code before.

--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -68,20 +68,12 @@
         hold(builder.leftOut, events)
         if (packed.isEmpty()) return null
         val markers = reserve(packed, events)
-        return Write(
-            markers.map { it.change },
-            onRejected = { onRejected(markers, events) },
-            parts =
-                markers.map {
-                    Write(
-                        listOf(it.change),
-                        { onRejected(listOf(it), events) },
-                    ) { onDurable(listOf(it), events) }
-                },
-            onDurable = { onDurable(markers, events) },
-        )
+        return writeOf(markers, events, parts = markers.map { writeOf(listOf(it), events) })
     }
 
+    private fun writeOf(markers: List<ReservedMarker>, events: DispatchEvents, parts: List<Write> = emptyList()) =
+        Write(markers.map { it.change }, { onRejected(markers, events) }, parts) { onDurable(markers, events) }
+
     private fun onDurable(markers: List<ReservedMarker>, events: DispatchEvents) {
         raiseMarkerLimit()
         events.onDispatched(markers.flatMap { it.allocations })
--- a/src/main/kotlin/org/chalkhollow/core/fleet/ImageLocations.kt
+++ b/src/main/kotlin/org/chalkhollow/core/fleet/ImageLocations.kt
@@ -97,7 +97,7 @@
         for (id in page * machinesPerPage until minOf((page + 1) * machinesPerPage, names.machines.size)) {
             val machine = fleet.find(names.machines.name(id)) ?: continue
             if (machine.cachedImages.isEmpty() || machine.state != Machine.State.UP) continue
-            if (!builder.add(machine)) break
+            builder.addIfFitting(machine)
         }
         return builder.value()
     }
@@ -108,15 +108,15 @@
         private val indicesByMachine = LinkedHashMap<String, List<Long>>()
         private var bytes = VALUE_OVERHEAD_BYTES
 
-        /** Returns false if [machine] does not fit into the value. */
-        fun add(machine: Machine): Boolean {
+        /** Leaves out a [machine] that does not fit, so that it does not hide those after it. */
+        fun addIfFitting(machine: Machine) {
             val newImages = machine.cachedImages.filter { it !in images }
             val newBytes = newImages.sumOf { EncodedSize.of(names.images.name(it)) + 1 }
-            bytes += EncodedSize.of(machine.name) + MACHINE_BYTES + machine.cachedImages.size * INDEX_BYTES + newBytes
-            if (bytes > limits.recordBytes) return false
+            val machineBytes = EncodedSize.of(machine.name) + MACHINE_BYTES + machine.cachedImages.size * INDEX_BYTES
+            if (bytes + machineBytes + newBytes > limits.recordBytes) return
+            bytes += machineBytes + newBytes
             val indices = machine.cachedImages.map { image -> images.getOrPut(image) { images.size }.toLong() }
             indicesByMachine[machine.name] = listOf(machine.lease.epoch) + indices
-            return true
         }
 
         fun value(): Map<String, Any?> = mapOf(IMAGES to images.keys.map(names.images::name), HELD to indicesByMachine)
--- a/src/test/kotlin/org/chalkhollow/core/fleet/ImageLocationsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/fleet/ImageLocationsTest.kt
@@ -4,6 +4,7 @@
 import org.chalkhollow.core.cluster.Machine
 import org.chalkhollow.core.common.CoreContext
 import org.chalkhollow.core.common.Now
+import org.chalkhollow.core.storage.TransactionBudget
 import org.chalkhollow.model.KeyValue
 import org.chalkhollow.model.WorkerHeartbeat
 import org.chalkhollow.settings.OperatorSettings
@@ -47,6 +48,22 @@
         assertEquals(setOf(7), machine.cachedImages)
     }
 
+    // Guards against locations that are never stored: a machine with too many images hid those after it in its page.
+    @Test
+    fun `a machine whose images do not fit into a page does not hide the machines after it`() {
+        locations.start()
+        for (number in 1..3) {
+            val name = "n-$number"
+            val machine = fleet.observe(WorkerHeartbeat(name, name, "small", "east", false, 1, 1, 1, null, emptyList()))
+            val images = if (number == 2) 100 else 1
+            repeat(images) { machine?.cachedImages?.add(names.images.intern("$it-" + "i".repeat(190))) }
+        }
+        context.now = Now(context.now.steady + 5000, context.now.wall + 5000)
+        val write = checkNotNull(locations.next(TransactionBudget(10, 40 * 1024)))
+        val held = checkNotNull(write.changes.single().value)["held"] as Map<*, *>
+        assertEquals(setOf("n-1", "n-3"), held.keys)
+    }
+
     @Test
     fun `a new leader knows the images that a machine cached in an earlier epoch`() {
         val value =
