The rejected markers of one round lower the marker limit once

Cause: since the markers of a round can be written one by one, each of them halved the size limit when it was rejected, so that one round of a lowered value limit took it to the least, 512 bytes, and it grows by a sixteenth a write.

Change: a rejection halves the limit that the marker was built under, and others built under it do not lower it again.

--- a/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
+++ b/src/main/kotlin/org/chalkhollow/core/attempts/DispatchLog.kt
@@ -45,8 +45,13 @@
         gangWrites.clear()
     }
 
-    /** A marker whose tasks are reserved, and the write of which is pending. */
-    private class ReservedMarker(val change: Change, val allocations: List<Allocation>, val attempts: List<Attempt>)
+    /** A marker that was built under the limit [maxBytes], whose tasks are reserved and whose write is pending. */
+    private class ReservedMarker(
+        val change: Change,
+        val maxBytes: Int,
+        val allocations: List<Allocation>,
+        val attempts: List<Attempt>,
+    )
 
     /** Whether markers of gangs whose tasks are reserved are still to be written. */
     val hasGangWrites: Boolean get() = gangWrites.isNotEmpty()
@@ -81,7 +86,7 @@
     }
 
     private fun onRejected(markers: List<ReservedMarker>, events: DispatchEvents) {
-        lowerMarkerLimit()
+        lowerMarkerLimit(markers.first().maxBytes)
         reconciler.onMarkersRejected(markers.flatMap { it.attempts })
         events.onRejected(markers.flatMap { it.allocations })
     }
@@ -116,7 +121,7 @@
         events.onDispatching(packed.flatMap { it.allocations })
         return packed.map { entry ->
             val attempts = entry.allocations.flatMap { a -> a.tasks.map { index -> reserve(a, index, entry.marker) } }
-            ReservedMarker(entry.change(), entry.allocations, attempts)
+            ReservedMarker(entry.change(), maxMarkerBytes, entry.allocations, attempts)
         }
     }
 
@@ -139,8 +144,9 @@
         )
     }
 
-    private fun lowerMarkerLimit() {
-        maxMarkerBytes = maxOf(MIN_MARKER_BYTES, maxMarkerBytes / 2)
+    /** A marker built under the limit [rejectedBytes] was rejected; others built under it do not lower it again. */
+    private fun lowerMarkerLimit(rejectedBytes: Int) {
+        maxMarkerBytes = minOf(maxMarkerBytes, maxOf(MIN_MARKER_BYTES, rejectedBytes / 2))
     }
 
     private fun raiseMarkerLimit() {
--- /dev/null
+++ b/src/test/kotlin/org/chalkhollow/core/attempts/DispatchLogTest.kt
@@ -0,0 +1,69 @@
+package org.chalkhollow.core.attempts
+
+import org.chalkhollow.core.acceptDurably
+import org.chalkhollow.core.cluster.HoldReason
+import org.chalkhollow.core.cluster.Interners
+import org.chalkhollow.core.cluster.Machine
+import org.chalkhollow.core.common.CoreContext
+import org.chalkhollow.core.common.EncodedSize
+import org.chalkhollow.core.common.Now
+import org.chalkhollow.core.fleet.Fleet
+import org.chalkhollow.core.fleet.StaticMachines
+import org.chalkhollow.core.jobSpec
+import org.chalkhollow.core.jobs.JobTable
+import org.chalkhollow.core.jobs.Quotas
+import org.chalkhollow.core.storage.TransactionBudget
+import org.chalkhollow.core.storage.Write
+import org.chalkhollow.model.Team
+import org.chalkhollow.settings.OperatorSettings
+import org.chalkhollow.simulation.Simulation
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Checks how the size limit of dispatch markers follows rejections, and what becomes of the tasks. */
+class DispatchLogTest {
+    private object Events : DispatchEvents {
+        override fun onHeld(allocation: Allocation, reason: HoldReason) = Unit
+
+        override fun onDispatching(allocations: List<Allocation>) = Unit
+
+        override fun onDispatched(allocations: List<Allocation>) = Unit
+
+        override fun onRejected(allocations: List<Allocation>) = Unit
+    }
+
+    private val context = CoreContext(1).also { it.now = Now(0, 0) }
+    private val settings = Simulation(1).settings
+    private val names = Interners().apply { teams.intern("t") }
+    private val jobs = JobTable(context, names, settings.stateLimits)
+    private val reconciler = AttemptReconciler(context, jobs, Quotas(listOf(Team("t", 1e6, 1e6, 0.0, 0.0)))) { 1 }
+    private val staticMachines = StaticMachines(context, settings.stateLimits)
+    private val fleet = Fleet(context, names, settings, OperatorSettings(), "a", staticMachines)
+    private val dispatch = DispatchLog(settings.stateLimits, reconciler, fleet).also { it.start(1) }
+    private val job = jobs.acceptDurably(jobSpec("j-1", tasks = 20_000))
+
+    /** The write of the markers of every other task of the job; they take several of 8 KB. */
+    private fun writeScattered(): Write {
+        val tasks = (0 until job.spec.tasks step 2).filter { !job.tasks.isLive(it) }.toIntArray()
+        val allocation = Allocation(job, Machine(0, "n-1"), tasks, fromCredit = false)
+        return checkNotNull(dispatch.prepareMarkerWrite(listOf(allocation), TransactionBudget(11, 40 * 1024), Events))
+    }
+
+    /** The largest marker has [maxBytes], less at most what the builder reserves for a marker without its rows. */
+    private fun assertFilled(maxBytes: Int, write: Write) {
+        val largest = write.changes.maxOf { EncodedSize.of(it.value) }
+        assertTrue(largest in maxBytes - 160..maxBytes, "$largest bytes")
+    }
+
+    // Guards against a limit that falls to the least as soon as one transaction is split into its markers.
+    @Test
+    fun `the rejected markers of one round lower the size limit once, and their tasks are pending again`() {
+        val write = writeScattered()
+        assertTrue(write.parts.size > 3, "${write.parts.size} markers")
+        assertFilled(8192, write)
+        for (part in write.parts) part.onRejected()
+        assertEquals(0, job.tasks.liveCount)
+        assertFilled(4096, writeScattered())
+    }
+}
