One fixture for the tests that need placement's modules

Need: three tests built the same jobs, quotas, reconciler and fleet with a catalog. PlacementFixture builds them once.

--- a/src/test/kotlin/org/chalkhollow/core/attempts/DispatchLogTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/attempts/DispatchLogTest.kt
@@ -1,22 +1,13 @@
 package org.chalkhollow.core.attempts
 
+import org.chalkhollow.core.PlacementFixture
 import org.chalkhollow.core.acceptDurably
 import org.chalkhollow.core.cluster.HoldReason
-import org.chalkhollow.core.cluster.Interners
 import org.chalkhollow.core.cluster.Machine
-import org.chalkhollow.core.common.CoreContext
 import org.chalkhollow.core.common.EncodedSize
-import org.chalkhollow.core.common.Now
-import org.chalkhollow.core.fleet.Fleet
-import org.chalkhollow.core.fleet.StaticMachines
 import org.chalkhollow.core.jobSpec
-import org.chalkhollow.core.jobs.JobTable
-import org.chalkhollow.core.jobs.Quotas
 import org.chalkhollow.core.storage.TransactionBudget
 import org.chalkhollow.core.storage.Write
-import org.chalkhollow.model.Team
-import org.chalkhollow.settings.OperatorSettings
-import org.chalkhollow.simulation.Simulation
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -33,15 +24,10 @@
         override fun onRejected(allocations: List<Allocation>) = Unit
     }
 
-    private val context = CoreContext(1).also { it.now = Now(0, 0) }
-    private val settings = Simulation(1).settings
-    private val names = Interners().apply { teams.intern("t") }
-    private val jobs = JobTable(context, names, settings.stateLimits)
-    private val reconciler = AttemptReconciler(context, jobs, Quotas(listOf(Team("t", 1e6, 1e6, 0.0, 0.0)))) { 1 }
-    private val staticMachines = StaticMachines(context, settings.stateLimits)
-    private val fleet = Fleet(context, names, settings, OperatorSettings(), "a", staticMachines)
-    private val dispatch = DispatchLog(settings.stateLimits, reconciler, fleet).also { it.start(1) }
-    private val job = jobs.acceptDurably(jobSpec("j-1", tasks = 20_000))
+    private val fixture = PlacementFixture(teamCpus = 1e6)
+    private val dispatch =
+        DispatchLog(fixture.settings.stateLimits, fixture.reconciler, fixture.fleet).also { it.start(1) }
+    private val job = fixture.jobs.acceptDurably(jobSpec("j-1", tasks = 20_000))
 
     /** The write of the markers of every other task of the job; they take several of 8 KB. */
     private fun writeScattered(): Write {
--- a/src/test/kotlin/org/chalkhollow/core/placement/PlacementCreditTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/placement/PlacementCreditTest.kt
@@ -1,27 +1,13 @@
 package org.chalkhollow.core.placement
 
+import org.chalkhollow.core.PlacementFixture
 import org.chalkhollow.core.acceptDurably
 import org.chalkhollow.core.attempts.Allocation
-import org.chalkhollow.core.attempts.AttemptReconciler
-import org.chalkhollow.core.cluster.Interners
-import org.chalkhollow.core.common.CloudOp
-import org.chalkhollow.core.common.CloudReply
-import org.chalkhollow.core.common.CoreContext
-import org.chalkhollow.core.common.Effect
-import org.chalkhollow.core.common.Input
 import org.chalkhollow.core.common.Now
-import org.chalkhollow.core.fleet.Fleet
-import org.chalkhollow.core.fleet.StaticMachines
 import org.chalkhollow.core.jobSpec
-import org.chalkhollow.core.jobs.JobTable
-import org.chalkhollow.core.jobs.Quotas
 import org.chalkhollow.core.jobs.ServiceLevelObjectives
-import org.chalkhollow.model.MachineType
-import org.chalkhollow.model.Resources
-import org.chalkhollow.model.Team
 import org.chalkhollow.model.WorkerHeartbeat
 import org.chalkhollow.settings.OperatorSettings
-import org.chalkhollow.simulation.Simulation
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -32,24 +18,14 @@
  * placed, so that the job got no credit and could not use reserved capacity.
  */
 class PlacementCreditTest {
-    private val context = CoreContext(1).also { it.now = Now(0, 0) }
-    private val settings = Simulation(1).settings
-    private val options = OperatorSettings(maxPassedOverS = 90.0)
-    private val names = Interners().apply { teams.intern("t") }
-    private val jobs = JobTable(context, names, settings.stateLimits)
-    private val quotas = Quotas(listOf(Team("t", 8.0, 8.0, 0.0, 0.0)))
-    private val reconciler = AttemptReconciler(context, jobs, quotas) { 1 }
-    private val staticMachines = StaticMachines(context, settings.stateLimits)
-    private val fleet = Fleet(context, names, settings, options, "a", staticMachines)
+    private val fixture = PlacementFixture(OperatorSettings(maxPassedOverS = 90.0))
+    private val context = fixture.context
+    private val jobs = fixture.jobs
+    private val reconciler = fixture.reconciler
+    private val fleet = fixture.fleet
     private val objectives = ServiceLevelObjectives(emptyList(), fleet::minBootMs)
-    private val placement = Placement(context, jobs, quotas, reconciler, fleet, options, objectives)
-
-    init {
-        fleet.tick(leading = false, unplaced = emptyList(), mayScaleOut = false)
-        val request = context.drain().filterIsInstance<Effect.Cloud>().single { it.op == CloudOp.Catalog }
-        val small = MachineType("small", Resources(8.0, 0.0, 64.0), 1.0, 20.0, 0.5, 0.2, 5.0, listOf("east"))
-        context.reply(Input.Cloud(request.ticket, CloudReply.Catalog(listOf(small))))
-    }
+    private val placement =
+        Placement(context, jobs, fixture.quotas, reconciler, fleet, fixture.options, objectives)
 
     /** Runs a placement round [second] seconds after the start; the machine has just sent a heartbeat. */
     private fun roundAt(second: Long): List<Allocation> {
--- a/src/test/kotlin/org/chalkhollow/core/placement/ReplicaMigrationTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/placement/ReplicaMigrationTest.kt
@@ -1,29 +1,15 @@
 package org.chalkhollow.core.placement
 
+import org.chalkhollow.core.PlacementFixture
 import org.chalkhollow.core.acceptDurably
 import org.chalkhollow.core.attempts.Allocation
-import org.chalkhollow.core.attempts.AttemptReconciler
 import org.chalkhollow.core.cluster.Attempt
-import org.chalkhollow.core.cluster.Interners
 import org.chalkhollow.core.cluster.Machine
 import org.chalkhollow.core.cluster.OpenJob
-import org.chalkhollow.core.common.CloudOp
-import org.chalkhollow.core.common.CloudReply
-import org.chalkhollow.core.common.CoreContext
-import org.chalkhollow.core.common.Effect
-import org.chalkhollow.core.common.Input
 import org.chalkhollow.core.common.Now
-import org.chalkhollow.core.fleet.Fleet
-import org.chalkhollow.core.fleet.StaticMachines
-import org.chalkhollow.core.jobs.JobTable
-import org.chalkhollow.core.jobs.Quotas
 import org.chalkhollow.core.serviceSpec
 import org.chalkhollow.model.JobSpec
-import org.chalkhollow.model.MachineType
 import org.chalkhollow.model.Resources
-import org.chalkhollow.model.Team
-import org.chalkhollow.settings.OperatorSettings
-import org.chalkhollow.simulation.Simulation
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -31,26 +17,12 @@
 
 /** Checks when replicas are stopped for a migration, and that the capacity found for one stays reserved for it. */
 class ReplicaMigrationTest {
-    private val context = CoreContext(1).also { it.now = Now(0, 0) }
-    private val settings = Simulation(1).settings
-    private val names = Interners().apply { teams.intern("t") }
-    private val jobs = JobTable(context, names, settings.stateLimits)
-    private val quotas = Quotas(listOf(Team("t", 8.0, 8.0, 0.0, 0.0)))
-    private val reconciler = AttemptReconciler(context, jobs, quotas) { 1 }
-    private val fleet =
-        Fleet(
-            context,
-            names,
-            settings,
-            OperatorSettings(),
-            "a",
-            StaticMachines(context, settings.stateLimits),
-        ).also { fleet ->
-            fleet.tick(leading = false, unplaced = emptyList(), mayScaleOut = false)
-            val request = context.drain().filterIsInstance<Effect.Cloud>().single { it.op == CloudOp.Catalog }
-            val small = MachineType("small", EIGHT_CPUS, 1.0, 20.0, 0.5, 0.2, 5.0, listOf("east", "west"))
-            context.reply(Input.Cloud(request.ticket, CloudReply.Catalog(listOf(small))))
-        }
+    private val fixture = PlacementFixture()
+    private val context = fixture.context
+    private val jobs = fixture.jobs
+    private val quotas = fixture.quotas
+    private val reconciler = fixture.reconciler
+    private val fleet = fixture.fleet
     private val migration = ReplicaMigration(context, fleet, quotas, ReplicaPlacement(jobs)) { _, _ -> true }
 
     private fun service(tasks: Int, change: (JobSpec) -> JobSpec = { it }): OpenJob =
@@ -254,8 +226,4 @@
         quotas.add(job.team, job.taskResources, 4)
         assertEquals(emptyList<Allocation>(), migration.allocateRestarts(listOf(other)))
     }
-
-    private companion object {
-        val EIGHT_CPUS = Resources(8.0, 0.0, 64.0)
-    }
 }
