--- a/review/lib-2/web.py
+++ b/review/lib-2/web.py
@@ -139,6 +139,18 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def refuse(self):
+        """Resets what is open and refuses new connections, as a packet filter that rejects does."""
+        self.server.close()
+        self.reset()
+
+    async def accept_again(self):
+        await self.start()
+
+    def stop(self):
+        self.server.close()
+        self.reset()
+
     async def _serve(self, reader, writer):
         if self.refusing:
             writer.transport.abort()
@@ -170,3 +182,89 @@
                 await writer.drain()
         except (ConnectionError, OSError):
             writer.transport.abort()
+
+
+class Balancer:
+    """The load balancer of the users: chooses a healthy node for each new connection and does not look into requests.
+
+    nodes have port and healthy; the open connections of a node that has been unhealthy for 5 s are reset.
+    """
+
+    def __init__(self, nodes, clock):
+        self.nodes, self.clock = nodes, clock
+        self.open = {n: set() for n in nodes}
+        self.failed = {}
+        self.skip_until = {}
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.watcher = asyncio.ensure_future(self._watch())
+        return self
+
+    def stop(self):
+        self.server.close()
+        self.watcher.cancel()
+        for writers in self.open.values():
+            for pair in list(writers):
+                for writer in pair:
+                    writer.transport.abort()
+
+    async def _watch(self):
+        since = {}
+        while True:
+            await asyncio.sleep(0.2)
+            for node in self.nodes:
+                if node.healthy:
+                    since.pop(node, None)
+                elif self.clock() - since.setdefault(node, self.clock()) > 5.0:
+                    for pair in list(self.open[node]):
+                        for writer in pair:
+                            writer.transport.abort()
+
+    async def _connect(self):
+        tried = []
+        while len(tried) < 3:
+            nodes = [n for n in self.nodes if n.healthy and n not in tried
+                     and self.clock() >= self.skip_until.get(n, 0)]
+            if not nodes:
+                return None
+            node = min(nodes, key=lambda n: len(self.open[n]))
+            tried.append(node)
+            try:
+                streams = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", node.port), 0.5)
+                self.failed[node] = 0
+                return node, streams
+            except (OSError, asyncio.TimeoutError):
+                self.failed[node] = self.failed.get(node, 0) + 1
+                if self.failed[node] >= 3:
+                    self.skip_until[node] = self.clock() + 3.0
+        return None
+
+    async def _serve(self, reader, writer):
+        found = await self._connect()
+        if found is None:
+            writer.transport.abort()
+            return
+        node, (there, back) = found
+        pair = (writer, back)
+        self.open[node].add(pair)
+
+        async def move(source, target):
+            try:
+                while True:
+                    data = await source.read(65536)
+                    if not data:
+                        return
+                    target.write(data)
+                    await target.drain()
+            except (ConnectionError, OSError):
+                pass
+            finally:
+                for w in pair:
+                    w.transport.abort()
+
+        try:
+            await asyncio.gather(move(reader, back), move(there, writer))
+        finally:
+            self.open[node].discard(pair)
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -29,12 +29,18 @@
 
 
 def free_ports(count):
+    """Free ports below those that the system gives to outgoing connections."""
     sockets = []
-    for _ in range(count):
+    source = random.SystemRandom()
+    while len(sockets) < count:
         s = socket.socket()
         s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
+        try:
+            s.bind(("127.0.0.1", source.randrange(15000, 32000)))
+            s.listen()
+            sockets.append(s)
+        except OSError:
+            s.close()
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
@@ -184,6 +190,10 @@
     async def start(self):
         self.server = await Server(self.handle).start()
         self.address = "127.0.0.1:%d" % self.server.port
+        self.proxy = None
+        if self.world.worker_proxies:
+            self.proxy = await Proxy(self.server.port).start()
+            self.address = "127.0.0.1:%d" % self.proxy.port
         self.jobs = [asyncio.ensure_future(self.report_loop()), asyncio.ensure_future(self.run_loop())]
 
     def stop(self):
@@ -195,6 +205,8 @@
             self.end(t)
         self.tasks.clear()
         self.server.stop()
+        if self.proxy:
+            self.proxy.stop()
         for j in self.jobs:
             j.cancel()
         if self.client:
@@ -571,49 +583,79 @@
                     self.start()
 
 
-FACTS = {
-    "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 40.0},
-    "state": {"rps": 80.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
-    "cloud": {"rps": 3.0, "list_lag_s": 5.0},
-    "machine_limits": {"cpu_share": 0.136, "memory_mb": 210.0, "max_connections": 1500},
-    "objectives": [
-        {"kind": "deadline", "class": "rate-recalc", "share": 0.85, "times": 1.0},
-        {"kind": "deadline", "class": "booking-reconcile", "share": 0.88, "times": 1.0},
-        {"kind": "wait", "class": "booking-reconcile", "within_s": 5.0, "share": 0.85},
-        {"kind": "finished", "class": "odometer-import", "within_s": 100.0, "share": 0.9},
-        {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
-    ],
+SITES = {
+    "mbc-fleethire": {
+        "zones": ["caboolture", "redcliffe"],
+        "teams": ("fleet-data", 6, 64.0, 192.0),
+        "skew_ms": 25.0,
+        "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 40.0},
+        "state": {"rps": 80.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
+        "cloud": {"rps": 3.0, "list_lag_s": 5.0},
+        "machine_limits": {"cpu_share": 0.136, "memory_mb": 210.0, "max_connections": 1500},
+        "objectives": [
+            {"kind": "deadline", "class": "rate-recalc", "share": 0.85, "times": 1.0},
+            {"kind": "deadline", "class": "booking-reconcile", "share": 0.88, "times": 1.0},
+            {"kind": "wait", "class": "booking-reconcile", "within_s": 5.0, "share": 0.85},
+            {"kind": "finished", "class": "odometer-import", "within_s": 100.0, "share": 0.9},
+            {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
+        ],
+        "flavours": [
+            {"sku": "depot-box", "vcpus": 8, "cards": 0, "memoryGb": 64, "localGb": 70, "pullGbPerS": 0.4,
+             "price": 0.48, "lowPrice": 0.16, "readyS": 20},
+            {"sku": "civic-core", "vcpus": 64, "cards": 0, "memoryGb": 128, "localGb": 40, "pullGbPerS": 0.25,
+             "price": 2.99, "lowPrice": 0.96, "readyS": 25},
+        ],
+    },
+    "recaudo-andino": {
+        "zones": ["bogota", "medellin"],
+        "teams": ("equipo-recaudo", 8, 96.0, 328.0),
+        "skew_ms": 1000.0,
+        "workers": {"report_s": 2.0, "lease_s": 16.0, "gang_wait_s": 45.0, "gang_peer_s": 6.0, "cancel_s": 36.0},
+        "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 8.0, "txn_ops": 12},
+        "cloud": {"rps": 3.0, "list_lag_s": 8.0},
+        "machine_limits": {"cpu_share": 0.255, "memory_mb": 210.0, "max_connections": 1200},
+        "objectives": [
+            {"kind": "deadline", "class": "factura-lote", "share": 0.88, "times": 1.0},
+            {"kind": "deadline", "class": "conciliacion-pago", "share": 0.9, "times": 1.0},
+            {"kind": "wait", "class": "conciliacion-pago", "within_s": 4.0, "share": 0.85},
+            {"kind": "guarantee", "within_s": 5.0, "share": 0.85},
+        ],
+        "flavours": [
+            {"sku": "nodo-recaudo", "vcpus": 32, "cards": 0, "memoryGb": 128, "localGb": 25, "pullGbPerS": 0.25,
+             "price": 1.27, "lowPrice": 0.4, "readyS": 30},
+        ],
+    },
 }
 
-FLAVOURS = [
-    {"sku": "depot-box", "vcpus": 8, "cards": 0, "memoryGb": 64, "localGb": 70, "pullGbPerS": 0.4, "price": 0.48,
-     "lowPrice": 0.16, "readyS": 20, "sites": ["caboolture", "redcliffe"]},
-    {"sku": "civic-core", "vcpus": 64, "cards": 0, "memoryGb": 128, "localGb": 40, "pullGbPerS": 0.25, "price": 2.99,
-     "lowPrice": 0.96, "readyS": 25, "sites": ["caboolture", "redcliffe"]},
-]
-
 
 class World:
-    def __init__(self, record_path, seed=1, mesh_proxies=False, teams=6, restart_s=6.0):
+    def __init__(self, record_path, seed=1, mesh_proxies=False, worker_proxies=False, site="mbc-fleethire",
+                 restart_s=6.0):
         random.seed(seed)
         self.record = Record(record_path)
         self.log, self.broke = self.record.log, self.record.broke
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.facts = json.loads(json.dumps(FACTS))
-        self.flavours = {f["sku"]: dict(f) for f in FLAVOURS}
-        self.limits = {"fleet-data-%02d" % i: 192.0 for i in range(teams)}
+        site = json.loads(json.dumps(SITES[site]))
+        self.zones = site["zones"]
+        name, count, self.guaranteed, limit = site["teams"]
+        self.limits = {"%s-%02d" % (name, i): limit for i in range(count)}
+        self.teams = list(self.limits)
+        self.flavours = {f["sku"]: dict(f, sites=self.zones) for f in site["flavours"]}
+        self.facts = {k: site[k] for k in ("workers", "state", "cloud", "machine_limits", "objectives", "skew_ms")}
         self.rules = Rules(self)
         self.described, self.run_s, self.saved, self.completed = {}, {}, {}, {}
         self.cancelled_at, self.jobs = {}, {}
         self.sick = set()
         self.restart_s = restart_s
-        self.mesh_proxies = mesh_proxies
-        self.nodes = [Node(self, i, z) for i, z in enumerate(["caboolture", "redcliffe", "caboolture"])]
+        self.mesh_proxies, self.worker_proxies = mesh_proxies, worker_proxies
+        self.nodes = [Node(self, i, z) for i, z in enumerate([self.zones[0], self.zones[1], self.zones[0]])]
         text = (ROOT / "deploy" / "service.toml").read_text()
         self.command = shlex.split(re.search(r'^run = "(.*)"$', text, re.M).group(1))
         self.background = []
 
     def worker_port(self, worker, node):
+        if self.worker_proxies:
+            return self.paths[(worker.site, node)].port
         return self.nodes[node].port
 
     # What tasks do.
@@ -629,7 +671,8 @@
     def fails(self, worker, task):
         return worker.name in self.sick
 
-    async def start(self):
+    async def start(self, later=()):
+        """Starts everything; the controllers with an index in `later` are left to the case."""
         self.state = State(self, len(self.nodes))
         await self.state.start()
         self.cloud = Cloud(self)
@@ -637,14 +680,18 @@
         ports = free_ports(2 * len(self.nodes))
         for node in self.nodes:
             node.port, node.mesh = ports[2 * node.index], ports[2 * node.index + 1]
-        self.mesh = {}
+        self.mesh, self.paths = {}, {}
+        for node in self.nodes:
+            for site in self.zones:
+                if self.worker_proxies:
+                    self.paths[(site, node.index)] = await Proxy(node.port).start()
         for a in self.nodes:
             for b in self.nodes:
                 if a is not b and self.mesh_proxies:
                     self.mesh[(a.index, b.index)] = await Proxy(b.mesh).start()
         for node in self.nodes:
-            facts = dict(self.facts, initial_size=3, zones=["caboolture", "redcliffe"], skew_ms=25.0)
-            facts["teams"] = [{"name": n, "cpus": 64.0, "cpus_max": m, "gpus": 0.0, "gpus_max": 0.0}
+            facts = dict(self.facts, initial_size=3, zones=self.zones)
+            facts["teams"] = [{"name": n, "cpus": min(m, self.guaranteed), "cpus_max": m, "gpus": 0.0, "gpus_max": 0.0}
                               for n, m in self.limits.items()]
             settings = {
                 "label": node.label, "location": node.zone, "client_listen": "127.0.0.1:%d" % node.port,
@@ -660,7 +707,8 @@
             with open(node.settings, "w") as f:
                 json.dump(settings, f)
         for node in self.nodes:
-            node.start()
+            if node.index not in later:
+                node.start()
             self.spawn(node.watch(self.restart_s))
             self.spawn(self.probe(node))
         self.spawn(self.rules.watch())
@@ -730,7 +778,7 @@
     # Users.
     def job(self, number, run_s, **fields):
         spec = {
-            "nameId": "j-%06d" % number, "workload": "odometer-import", "owner": "fleet-data-00", "shape": "batch",
+            "nameId": "j-%06d" % number, "workload": "odometer-import", "owner": self.teams[number % len(self.teams)], "shape": "batch",
             "urgency": "standard", "pieces": 4, "vcpus": 4.0, "cards": 0.0, "memoryGb": 4.6, "bundle": "img-01",
             "pullGb": 0.7, "flavours": None, "site": None, "together": False, "spread": False, "standby": True,
             "expectedS": run_s, "snapshotS": 0.0, "flushS": 0.0, "dueS": None,
@@ -852,6 +900,7 @@
     def on_term(*_):
         raise SystemExit(2)
     signal.signal(signal.SIGTERM, on_term)
+    sys.unraisablehook = lambda _: None  # connections that are still open when the loop ends
     try:
         code = asyncio.run(asyncio.wait_for(main(), limit_s))
     except asyncio.TimeoutError:
