--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(HERE.parent / "lib-2"))
 
 from web import Balancer, Client  # noqa: E402
-from world import World, now, run_case  # noqa: E402
+from world import World, job_path, now, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WINDOW_S = 90.0  # the rule: for 90 s every poll for it fails
@@ -38,7 +38,7 @@
     async def live(self):
         while True:
             sent = now()
-            answer = await self.client.call("GET", "/work/" + self.id, timeout=2.0)
+            answer = await self.client.call("GET", job_path(self.id), timeout=2.0)
             self.polls.append((sent, answer is not None and answer[0] in (200, 404)))
             self.world.log("user", "%s poll: %s" % (self.id, answer and answer[:2]))
             await asyncio.sleep(5.0)
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -24,6 +24,11 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 
+def job_path(*parts):
+    """The path of a job, or of a call about it, as on the protocol page."""
+    return "/".join(["", "work", *parts])
+
+
 def now():
     return time.monotonic()
 
@@ -849,7 +854,7 @@
     async def poll(self):
         node = self.world.pick()
         client = Client(node.port)
-        answer = await client.call("GET", "/work/" + self.id, timeout=2.0)
+        answer = await client.call("GET", job_path(self.id), timeout=2.0)
         client.close()
         self.tell("poll", node, answer)
         if answer is None or answer[0] not in (200, 404):
@@ -867,7 +872,7 @@
         while True:
             node = self.world.pick()
             client = Client(node.port)
-            answer = await client.call("POST", "/work/%s/withdraw" % self.id, timeout=5.0)
+            answer = await client.call("POST", job_path(self.id, "withdraw"), timeout=5.0)
             client.close()
             self.tell("withdraw", node, answer)
             if answer is not None and answer[0] == 200:
