Failed calls between controllers and refusals of GET /up show in logs and metrics

Change: PeerConnections reports when connections open, end and fail, PeerConnectionMonitor logs each change once and counts. RequestForwarder counts what became of forwarded requests. ReadinessCheck names the reason behind /up and logs its changes. New metrics: chalkhollow_up, _up_refused, _forwards_total, _peer_connected, _peer_connect_failures_total, _peer_messages_lost_total.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -89,13 +89,10 @@
         return leadership.mayActAsLeader()
     }
 
-    /**
-     * Whether users may send requests here: this controller leads, or had contact with the leader within
-     * [LEADER_CONTACT_MS].
-     */
+    /** Whether users may send requests to this controller at [now]. */
     fun acceptsRequests(now: Now): Boolean {
         context.now = now
-        return leadership.hasLeaderContact(LEADER_CONTACT_MS)
+        return modules.requests.readiness.accepts
     }
 
     /** The status for operators; changes nothing. */
@@ -123,10 +120,7 @@
                 replicas = modules.jobReport.replicas(),
                 dropped = context.dropped.counts(),
                 held = modules.heldTasks.counts(),
+                readiness = modules.requests.readiness,
+                forwarded = modules.requests.forwardedCounts,
             )
-
-    private companion object {
-        /** A follower without contact to a leader for this long accepts no user requests. */
-        const val LEADER_CONTACT_MS = 3500L
-    }
 }
--- a/src/main/kotlin/org/chalkhollow/core/operations/ControllerGauges.kt
+++ b/src/main/kotlin/org/chalkhollow/core/operations/ControllerGauges.kt
@@ -2,6 +2,8 @@
 
 import org.chalkhollow.core.cluster.HoldReason
 import org.chalkhollow.core.common.DroppedInput
+import org.chalkhollow.core.common.ForwardedCounts
+import org.chalkhollow.core.common.Readiness
 
 /** The values of the gauges and counters of one controller, and the known versions of all controllers. */
 data class ControllerGauges(
@@ -19,6 +21,9 @@
     val dropped: Map<DroppedInput, Long> = emptyMap(),
     /** Number of ready tasks by the reason why they are not started, as known to the leader. */
     val held: Map<HoldReason, Int> = emptyMap(),
+    /** Whether this controller accepts users' requests, and why not. */
+    val readiness: Readiness = Readiness.NO_LEADER_CONTACT,
+    val forwarded: ForwardedCounts = ForwardedCounts(),
 )
 
 /** Replicas of all services, as known to the leader. */
--- a/src/main/kotlin/org/chalkhollow/core/requests/RequestForwarder.kt
+++ b/src/main/kotlin/org/chalkhollow/core/requests/RequestForwarder.kt
@@ -4,6 +4,7 @@
 import org.chalkhollow.core.common.CoreContext
 import org.chalkhollow.core.common.DroppedInput
 import org.chalkhollow.core.common.Effect
+import org.chalkhollow.core.common.ForwardedCounts
 import org.chalkhollow.core.common.UserRequest
 import org.chalkhollow.core.leadership.Leadership
 import org.chalkhollow.peer.PeerMessage
@@ -26,10 +27,15 @@
     private val firstSeq = context.random.nextLong(FIRST_SEQ_BOUND)
     private var nextSeq = firstSeq
 
+    /** What became of the requests so far. */
+    var counts = ForwardedCounts()
+        private set
+
     /** Forwards [request]; responds with 503 if no ready leader is reachable or too many responses are pending. */
     fun forward(call: Int, request: UserRequest) {
         val leader = leadership.reachableLeader()
         if (leader < 0 || !leadership.leaderIsReady() || pending.size >= MAX_PENDING_REQUESTS) {
+            counts = counts.copy(rejected = counts.rejected + 1)
             return responder.respondUnavailable(call)
         }
         val seq = nextSeq++
@@ -50,6 +56,7 @@
 
     fun onResponse(response: PeerMessage.ForwardedResponse) {
         val forwarded = pending.remove(response.seq) ?: return countDropped(response)
+        counts = counts.copy(answered = counts.answered + 1)
         val body = response.body.takeIf { it.isNotEmpty() }
         context.emit(Effect.Response(forwarded.call, response.status, body, response.retryAfterS))
     }
@@ -68,6 +75,7 @@
             val oldest = pending.get(seq)
             if (oldest.deadlineMs > context.steady) return
             pending.remove(seq)
+            counts = counts.copy(timedOut = counts.timedOut + 1)
             responder.respondUnavailable(oldest.call)
         }
     }
--- a/src/main/kotlin/org/chalkhollow/core/requests/RequestHandler.kt
+++ b/src/main/kotlin/org/chalkhollow/core/requests/RequestHandler.kt
@@ -3,6 +3,8 @@
 import org.chalkhollow.core.cluster.Interners
 import org.chalkhollow.core.cluster.OpenJob
 import org.chalkhollow.core.common.CoreContext
+import org.chalkhollow.core.common.ForwardedCounts
+import org.chalkhollow.core.common.Readiness
 import org.chalkhollow.core.common.UserRequest
 import org.chalkhollow.core.fleet.Fleet
 import org.chalkhollow.core.jobs.JobCancellation
@@ -32,6 +34,14 @@
     private val forwarder = RequestForwarder(context, leadership, responder)
     private val jobRequests = JobRequests(context, responder, writer, jobs, cancellation, quotas, fleet, names)
 
+    private val readinessCheck = ReadinessCheck(context, leadership)
+
+    /** Whether users may send requests to this controller at this moment, and why. */
+    val readiness: Readiness get() = readinessCheck.current()
+
+    /** What became of the requests that this controller forwarded. */
+    val forwardedCounts: ForwardedCounts get() = forwarder.counts
+
     /** Whether the stored records are loaded; before that the leader does not know which jobs were accepted. */
     private var isOpen = false
 
@@ -73,6 +83,7 @@
     /** Responds with 503 to callers that have waited for too long. */
     fun tick() {
         forwarder.expire()
+        readinessCheck.tick()
         jobRequests.expire()
     }
 
--- a/src/main/kotlin/org/chalkhollow/peer/PeerConnections.kt
+++ b/src/main/kotlin/org/chalkhollow/peer/PeerConnections.kt
@@ -33,19 +33,11 @@
     private val listen: Address,
     private val peers: List<Peer>,
     private val hello: PeerMessage.Hello,
-    droppedFrames: DroppedFrameListener,
+    private val droppedFrames: DroppedFrameListener,
+    private val listener: PeerConnectionListener,
     private val receive: (Int, PeerMessage) -> Unit,
 ) {
-    private val frameReader =
-        PeerFrameReader(
-            peers.map { it.label },
-            droppedFrames,
-            object : PeerMessageListener {
-                override fun onHello(peer: Int, hello: PeerMessage.Hello) = handleHello(peer, hello)
-
-                override fun onMessage(peer: Int, message: PeerMessage) = receive(peer, message)
-            },
-        )
+    private val labels = peers.map { it.label }
 
     /** By peer: the incarnation in its last hello; 0 before the first hello. */
     private val incarnations = LongArray(peers.size)
@@ -65,6 +57,7 @@
      * peer is open, all messages that were queued before are dropped.
      */
     fun send(peer: Int, message: PeerMessage) {
+        if (!isConnected[peer]) listener.onMessageLost(labels[peer])
         queues[peer].trySend(message)
     }
 
@@ -77,6 +70,20 @@
         for (peer in peers.indices) scope.launch { keepConnected(peer) }
     }
 
+    /** Handles the frames of one connection that a peer opened. */
+    private inner class AcceptedConnection : PeerMessageListener {
+        var peer: Int? = null
+            private set
+
+        override fun onHello(peer: Int, hello: PeerMessage.Hello) {
+            this.peer = peer
+            listener.onAccepted(labels[peer])
+            handleHello(peer, hello)
+        }
+
+        override fun onMessage(peer: Int, message: PeerMessage) = receive(peer, message)
+    }
+
     private fun handleHello(peer: Int, hello: PeerMessage.Hello) {
         val previous = incarnations[peer]
         incarnations[peer] = hello.incarnation
@@ -103,13 +110,16 @@
     }
 
     private suspend fun receiveFrom(socket: Socket) {
+        val connection = AcceptedConnection()
+        var reason = "invalid frame"
         try {
-            frameReader.readFrames(socket.openReadChannel())
+            PeerFrameReader(labels, droppedFrames, connection).readFrames(socket.openReadChannel())
         } catch (e: CancellationException) {
             throw e
         } catch (expected: Exception) {
-            // The connection failed; the peer opens a new one when it can.
+            reason = describe(expected) // the peer opens a new connection when it can
         } finally {
+            connection.peer?.let { listener.onAcceptedClosed(labels[it], reason) }
             socket.close()
         }
     }
@@ -122,6 +132,7 @@
                 throw e
             } catch (expected: Exception) {
                 // The connection was refused or reset, or the host name was not resolved; it is retried below.
+                reportFailure(peer, expected)
             } finally {
                 isConnected[peer] = false
             }
@@ -129,10 +140,19 @@
         }
     }
 
+    private fun reportFailure(peer: Int, failure: Exception) {
+        val reason = describe(failure)
+        val label = labels[peer]
+        if (isConnected[peer]) listener.onDisconnected(label, reason) else listener.onConnectFailed(label, reason)
+    }
+
+    private fun describe(failure: Exception): String = failure.message ?: failure::class.java.simpleName
+
     /** Sends messages queued for [peer] on [socket] until a write fails or the peer signals a restart. */
     private suspend fun sendAll(peer: Int, socket: Socket) {
         val queue = queues[peer]
         isConnected[peer] = true
+        listener.onConnected(labels[peer])
         while (queue.tryReceive().isSuccess) Unit // outdated, or for an earlier incarnation
         val output = socket.openWriteChannel(autoFlush = false)
         write(output, hello)
@@ -142,7 +162,7 @@
                     queue.onReceive { it }
                     reconnectSignals[peer].onReceive { null }
                 }
-            write(output, message ?: return)
+            write(output, message ?: return listener.onDisconnected(labels[peer], "the peer has restarted"))
         }
     }
 
@@ -157,7 +177,16 @@
      * Connects to [peer]. Returns null after [CONNECT_TIMEOUT_MS], or at once when a hello of the peer shows that it
      * listens by now; then the caller retries.
      */
-    private suspend fun connect(peer: Int): Socket? =
+    private suspend fun connect(peer: Int): Socket? {
+        var isSignalled = false
+        val socket = connectWithin(peer) { isSignalled = true }
+        if (socket == null && !isSignalled) {
+            listener.onConnectFailed(labels[peer], "no reply within $CONNECT_TIMEOUT_MS ms")
+        }
+        return socket
+    }
+
+    private suspend fun connectWithin(peer: Int, onSignal: () -> Unit): Socket? =
         withTimeoutOrNull(CONNECT_TIMEOUT_MS) {
             coroutineScope {
                 val address = peers[peer].address
@@ -166,6 +195,7 @@
                     opening.onAwait { it }
                     reconnectSignals[peer].onReceive {
                         opening.cancel()
+                        onSignal()
                         reconnectSignals[peer].trySend(Unit) // the caller retries at once
                         null
                     }
--- a/src/main/kotlin/org/chalkhollow/runtime/ControllerNode.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/ControllerNode.kt
@@ -59,6 +59,7 @@
             settings.peers,
             PeerMessage.Hello(settings.label, incarnation, PeerMessage.VERSION),
             DroppedFrameLogger(log, metrics),
+            PeerConnectionMonitor(log, metrics, settings.peers.map { it.label }),
         ) { from, message -> executor.step(Input.Peer(from, message)) }
     private val pendingRequests = PendingRequests()
     private val executor: EffectExecutor =
--- a/src/main/kotlin/org/chalkhollow/runtime/Metrics.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Metrics.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap
 import org.HdrHistogram.Histogram
+import org.chalkhollow.core.common.Readiness
 import org.chalkhollow.core.operations.ControllerGauges
 
 /**
@@ -19,6 +20,7 @@
     private var malformedReplies = 0L
     private val shed = LongArray(TaskPriority.entries.size)
     private val histograms = LinkedHashMap<String, Histogram>()
+    private val peers = LinkedHashMap<String, PeerMetrics>()
     private val registry by lazy { newRegistry() }
 
     /** Counts a response with [status]. */
@@ -51,6 +53,14 @@
         malformedReplies++
     }
 
+    /** Adds the controller [label], whose metrics are reported from now on. */
+    internal fun addPeer(label: String) {
+        peers[label] = PeerMetrics()
+    }
+
+    /** The metrics of the controller [label], which must have been added with [addPeer]. */
+    internal fun peer(label: String): PeerMetrics = peers.getValue(label)
+
     /** Records a duration of [kind] in microseconds. */
     fun recordDuration(kind: String, micros: Long) =
         histograms.getOrPut(kind) { Histogram(MAX_MICROS, 2) }.recordValue(micros.coerceIn(0, MAX_MICROS))
@@ -59,6 +69,8 @@
     fun text(gauges: ControllerGauges): String =
         buildString {
             appendGauges(gauges)
+            appendForwarding(gauges)
+            for ((label, peer) in peers) append(peer.text(label))
             appendLine("chalkhollow_shed_total{kind=\"report\"} ${shed[TaskPriority.WORKER.ordinal]}")
             appendLine("chalkhollow_shed_total{kind=\"user\"} ${shed[TaskPriority.USER.ordinal]}")
             appendHistograms()
@@ -80,6 +92,17 @@
         for ((input, count) in gauges.dropped) appendLine("chalkhollow_${input.metric}_total $count")
     }
 
+    private fun StringBuilder.appendForwarding(gauges: ControllerGauges) {
+        appendLine("chalkhollow_up ${if (gauges.readiness.accepts) 1 else 0}")
+        for (state in Readiness.entries.filter { !it.accepts }) {
+            val isCurrent = if (state == gauges.readiness) 1 else 0
+            appendLine("chalkhollow_up_refused{reason=\"${state.metric}\"} $isCurrent")
+        }
+        appendLine("chalkhollow_forwards_total{outcome=\"answered\"} ${gauges.forwarded.answered}")
+        appendLine("chalkhollow_forwards_total{outcome=\"timed_out\"} ${gauges.forwarded.timedOut}")
+        appendLine("chalkhollow_forwards_total{outcome=\"rejected\"} ${gauges.forwarded.rejected}")
+    }
+
     private fun StringBuilder.appendHistograms() {
         for ((kind, histogram) in histograms) {
             for (quantile in QUANTILES) {
