Both ends of a connection between controllers send on it

Cause: a controller sent only on the connection that it opened. The leader's own connection to the follower stayed open and was used in one direction only, so a way between the two existed and was not taken. Evidence: _peer_connected{opened_by="self"} 0, {opened_by="peer"} 1 at the follower, 182 messages to the leader lost. Change: from version 2 on, a controller also reads on connections that it opened, and PeerLink sends on the other one while its own is closed or has carried nothing for 2.5 s. Hellos, once a second and answered on the same connection, show which carries. A connection without an answer for 6 s is opened anew. Versions 0 and 1 get nothing on connections they opened. Reading also notices at once that the other end has closed; before, a follower that sent nothing noticed never.

--- a/src/main/kotlin/org/chalkhollow/peer/PeerConnections.kt
+++ b/src/main/kotlin/org/chalkhollow/peer/PeerConnections.kt
@@ -5,14 +5,9 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
-import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -23,9 +18,11 @@
 import org.chalkhollow.settings.Peer
 
 /**
- * Connections to the other controllers. A controller sends on connections that it opened and receives on connections
- * that it accepted. Peers are identified by their index in [peers]. Everything runs in [scope], which must be
- * single-threaded; [receive] is called there with every message, including hellos.
+ * Connections to the other controllers. Each controller opens one connection to each peer, and both ends send and
+ * receive on it; [PeerLink] chooses between the two connections of a pair. Peers of older versions only receive on
+ * connections that they accepted, and only send on those that they opened. Peers are identified by their index in
+ * [peers]. Everything runs in [scope], which must be single-threaded; [receive] is called there with every message,
+ * including the hellos that open a connection or contain something new.
  */
 class PeerConnections(
     private val scope: CoroutineScope,
@@ -38,27 +35,21 @@
     private val receive: (Int, PeerMessage) -> Unit,
 ) {
     private val labels = peers.map { it.label }
-
-    /** By peer: the incarnation in its last hello; 0 before the first hello. */
-    private val incarnations = LongArray(peers.size)
-
-    /** By peer: whether this controller's connection to it is open. */
-    private val isConnected = BooleanArray(peers.size)
+    private val links = peers.map { PeerLink() }
 
     /**
      * By peer: signals that this controller should connect now, because a hello shows that the peer listens. Sent when
      * the peer has restarted, or when it connects while this controller is not connected to it.
      */
     private val reconnectSignals = peers.map { Channel<Unit>(Channel.CONFLATED) }
-    private val queues = peers.map { Channel<PeerMessage>(MAX_QUEUED_MESSAGES, BufferOverflow.DROP_OLDEST) }
 
     /**
-     * Queues [message] for [peer]. When the queue is full, the oldest message is dropped. When a new connection to the
-     * peer is open, all messages that were queued before are dropped.
+     * Sends [message] to [peer] on a connection that is open. The message is dropped if there is none, and when the
+     * connection ends before it was written.
      */
     fun send(peer: Int, message: PeerMessage) {
-        if (!isConnected[peer]) listener.onMessageLost(labels[peer])
-        queues[peer].trySend(message)
+        val connection = links[peer].sendingConnection() ?: return listener.onMessageLost(labels[peer])
+        connection.send(message)
     }
 
     /** Binds the port; throws the socket's exception if that fails. */
@@ -70,28 +61,6 @@
         for (peer in peers.indices) scope.launch { keepConnected(peer) }
     }
 
-    /** Handles the frames of one connection that a peer opened. */
-    private inner class AcceptedConnection : PeerMessageListener {
-        var peer: Int? = null
-            private set
-
-        override fun onHello(peer: Int, hello: PeerMessage.Hello) {
-            this.peer = peer
-            listener.onAccepted(labels[peer])
-            handleHello(peer, hello)
-        }
-
-        override fun onMessage(peer: Int, message: PeerMessage) = receive(peer, message)
-    }
-
-    private fun handleHello(peer: Int, hello: PeerMessage.Hello) {
-        val previous = incarnations[peer]
-        incarnations[peer] = hello.incarnation
-        val restarted = previous != 0L && previous != hello.incarnation
-        if (!isConnected[peer] || restarted) reconnectSignals[peer].trySend(Unit)
-        receive(peer, hello)
-    }
-
     private suspend fun acceptAll(server: ServerSocket) {
         while (true) {
             val socket =
@@ -105,72 +74,133 @@
                     delay(RETRY_DELAY_MS)
                     continue
                 }
-            scope.launch { receiveFrom(socket) }
+            scope.launch { serveAccepted(socket) }
         }
     }
 
-    private suspend fun receiveFrom(socket: Socket) {
-        val connection = AcceptedConnection()
+    private suspend fun serveAccepted(socket: Socket) {
+        val handler = AcceptedConnectionHandler(PeerConnection(socket))
         var reason = "invalid frame"
         try {
-            PeerFrameReader(labels, droppedFrames, connection).readFrames(socket.openReadChannel())
+            coroutineScope {
+                val writing = async { handler.connection.writeQueued() }
+                PeerFrameReader(labels, droppedFrames, handler).readFrames(socket.openReadChannel())
+                writing.cancel()
+            }
         } catch (e: CancellationException) {
             throw e
         } catch (expected: Exception) {
             reason = describe(expected) // the peer opens a new connection when it can
         } finally {
-            connection.peer?.let { listener.onAcceptedClosed(labels[it], reason) }
             socket.close()
+            handler.closed(reason)
+        }
+    }
+
+    /** Handles the frames on a connection that a peer opened. */
+    private inner class AcceptedConnectionHandler(val connection: PeerConnection) : PeerMessageListener {
+        private var peer: Int? = null
+
+        override fun onHello(peer: Int, hello: PeerMessage.Hello) {
+            connection.heard()
+            if (this.peer == null) opened(peer, hello)
+            if (links[peer].isTwoWay) connection.send(this@PeerConnections.hello)
+        }
+
+        private fun opened(peer: Int, hello: PeerMessage.Hello) {
+            this.peer = peer
+            listener.onAccepted(labels[peer])
+            val link = links[peer]
+            val restarted = link.hello?.let { it.incarnation != hello.incarnation } ?: false
+            if (link.opened == null || restarted) reconnectSignals[peer].trySend(Unit)
+            link.hello = hello
+            link.accepted = connection.takeIf { link.isTwoWay }
+            receive(peer, hello)
+        }
+
+        override fun onMessage(peer: Int, message: PeerMessage) {
+            connection.heard()
+            receive(peer, message)
+        }
+
+        fun closed(reason: String) {
+            val peer = peer ?: return
+            val link = links[peer]
+            if (link.accepted === connection) link.accepted = null
+            listener.onAcceptedClosed(labels[peer], reason)
         }
     }
 
     private suspend fun keepConnected(peer: Int) {
+        val link = links[peer]
         while (true) {
             try {
-                connect(peer)?.use { sendAll(peer, it) }
+                connect(peer)?.use { serveOpened(peer, it) }
             } catch (e: CancellationException) {
                 throw e
             } catch (expected: Exception) {
                 // The connection was refused or reset, or the host name was not resolved; it is retried below.
-                reportFailure(peer, expected)
+                val reason = describe(expected)
+                if (link.opened == null) listener.onConnectFailed(labels[peer], reason) else disconnected(peer, reason)
             } finally {
-                isConnected[peer] = false
+                link.opened = null
             }
             withTimeoutOrNull(RETRY_DELAY_MS) { reconnectSignals[peer].receive() }
         }
     }
 
-    private fun reportFailure(peer: Int, failure: Exception) {
-        val reason = describe(failure)
-        val label = labels[peer]
-        if (isConnected[peer]) listener.onDisconnected(label, reason) else listener.onConnectFailed(label, reason)
+    private fun disconnected(peer: Int, reason: String) = listener.onDisconnected(labels[peer], reason)
+
+    /** Sends and receives on [socket], which this controller opened, until it fails or has to be opened anew. */
+    private suspend fun serveOpened(peer: Int, socket: Socket) {
+        val connection = PeerConnection(socket)
+        connection.send(hello)
+        links[peer].opened = connection
+        listener.onConnected(labels[peer])
+        coroutineScope {
+            val tasks =
+                listOf(
+                    async { connection.writeQueued() },
+                    async { readOpened(peer, connection, socket) },
+                    async { keepAlive(peer, connection) },
+                    async { reconnectSignals[peer].receive().let { "the peer has restarted" } },
+                )
+            val reason = select<String> { tasks.forEach { task -> task.onAwait { it } } }
+            tasks.forEach { it.cancel() }
+            disconnected(peer, reason)
+        }
     }
 
-    private fun describe(failure: Exception): String = failure.message ?: failure::class.java.simpleName
+    /** Reads what the peer sends on a connection that this controller opened. Returns why it ended. */
+    private suspend fun readOpened(expected: Int, connection: PeerConnection, socket: Socket): String {
+        val handler =
+            object : PeerMessageListener {
+                override fun onHello(peer: Int, hello: PeerMessage.Hello) {
+                    if (peer != expected) return
+                    connection.heard()
+                    if (links[peer].hello == hello) return
+                    links[peer].hello = hello
+                    receive(peer, hello)
+                }
 
-    /** Sends messages queued for [peer] on [socket] until a write fails or the peer signals a restart. */
-    private suspend fun sendAll(peer: Int, socket: Socket) {
-        val queue = queues[peer]
-        isConnected[peer] = true
-        listener.onConnected(labels[peer])
-        while (queue.tryReceive().isSuccess) Unit // outdated, or for an earlier incarnation
-        val output = socket.openWriteChannel(autoFlush = false)
-        write(output, hello)
-        while (true) {
-            val message: PeerMessage? =
-                select {
-                    queue.onReceive { it }
-                    reconnectSignals[peer].onReceive { null }
+                override fun onMessage(peer: Int, message: PeerMessage) {
+                    if (peer != expected) return
+                    connection.heard()
+                    receive(peer, message)
                 }
-            write(output, message ?: return listener.onDisconnected(labels[peer], "the peer has restarted"))
-        }
+            }
+        PeerFrameReader(labels, droppedFrames, handler).readFrames(socket.openReadChannel())
+        return "invalid frame"
     }
 
-    private suspend fun write(output: ByteWriteChannel, message: PeerMessage) {
-        val bytes = Frames.encode(message)
-        output.writeInt(bytes.size)
-        output.writeByteArray(bytes)
-        output.flush()
+    /** Sends hellos on [connection] while the peer answers them. Returns why it has to be opened anew. */
+    private suspend fun keepAlive(peer: Int, connection: PeerConnection): String {
+        while (true) {
+            delay(PeerLink.HELLO_INTERVAL)
+            if (!links[peer].isTwoWay) continue
+            if (connection.silentFor(PeerLink.RECONNECT_AFTER_SILENCE)) return "the peer does not answer on it"
+            connection.send(hello)
+        }
     }
 
     /**
@@ -203,8 +233,9 @@
             }
         }
 
+    private fun describe(failure: Exception): String = failure.message ?: failure::class.java.simpleName
+
     private companion object {
-        const val MAX_QUEUED_MESSAGES = 256
         const val CONNECT_TIMEOUT_MS = 1000L
         const val RETRY_DELAY_MS = 300L
     }
--- a/src/main/kotlin/org/chalkhollow/peer/PeerMessage.kt
+++ b/src/main/kotlin/org/chalkhollow/peer/PeerMessage.kt
@@ -11,7 +11,8 @@
 sealed interface PeerMessage {
     /**
      * The first frame on a connection: the sender's label, incarnation and [VERSION]. Versions that did not send their
-     * version count as 0.
+     * version count as 0. From [TWO_WAY_VERSION] on, a controller repeats it on connections that it opened, and
+     * answers it with its own on the same connection.
      */
     @Serializable
     @SerialName("hello")
@@ -86,6 +87,9 @@
 
     companion object {
         /** Increased when stored records or messages between controllers change; see docs/compatibility.md. */
-        const val VERSION = 1
+        const val VERSION = 2
+
+        /** From this version on, both ends of a connection between controllers send and receive. */
+        const val TWO_WAY_VERSION = 2
     }
 }
