GET /up refuses while the leader does not respond to forwarded requests

Cause: the readiness of a follower rested on hearing the leader alone. Forwarded requests that timed out had no effect. Change: a follower probes the leader once a second with a forwarded query for a job id that no job has, to which leaders of all versions respond. After 3 lost probes in a row or 5 of 10 the readiness is leader_not_responding, until 5 in a row have a response; this number doubles with each further removal within two minutes, to at most 40. Probes do not count while the leader is silent (it may have failed) or after this process stood still. A new leader begins with a clean record. DroppedInputsTest took the only forwarded response; it now picks the one to its own request, all checks unchanged.

--- a/src/main/kotlin/org/chalkhollow/core/Controller.kt
+++ b/src/main/kotlin/org/chalkhollow/core/Controller.kt
@@ -122,5 +122,6 @@
                 held = modules.heldTasks.counts(),
                 readiness = modules.requests.readiness,
                 forwarded = modules.requests.forwardedCounts,
+                probes = modules.requests.probeCounts,
             )
 }
--- a/src/main/kotlin/org/chalkhollow/core/ControllerModules.kt
+++ b/src/main/kotlin/org/chalkhollow/core/ControllerModules.kt
@@ -73,7 +73,8 @@
 
     private val objectives = ServiceLevelObjectives(settings.objectives, fleet::minBootMs)
     private val placement = Placement(context, jobs, quotas, reconciler, fleet, options, objectives)
-    val requests = RequestHandler(context, leadership, writer, jobs, cancellation, quotas, fleet, names)
+    val requests =
+        RequestHandler(context, leadership, writer, jobs, cancellation, quotas, fleet, names)
 
     private val records =
         StoredRecords(context, jobs, quotas, reconciler, staticMachines, fleet, images, dispatch)
--- a/src/main/kotlin/org/chalkhollow/core/leadership/Leadership.kt
+++ b/src/main/kotlin/org/chalkhollow/core/leadership/Leadership.kt
@@ -53,7 +53,10 @@
 
     enum class Role { FOLLOWER, CANDIDATE, LEADER }
 
-    val heartbeatTraffic = HeartbeatTraffic(peers.size)
+    /** The number of other controllers. */
+    val peerCount = peers.size
+
+    val heartbeatTraffic = HeartbeatTraffic(peerCount)
 
     /** Whether this leader has loaded the stored records and accepts users' requests. */
     var ready = false
@@ -62,7 +65,7 @@
     private val state = LeadershipState(context, startedAtMs)
     private val recordWatch = LeadershipRecordWatch(context, options, startedAtMs)
     private val grantedLease = GrantedFollowerLease(context, options, processStartedAtMs)
-    private val lease = LeaderLease(context, options, peers.size, heartbeatTraffic)
+    private val lease = LeaderLease(context, options, peerCount, heartbeatTraffic)
     private val election = Election(context, options, self, state, recordWatch, grantedLease, events, ::onElectionWon)
     private val peerRequests =
         PeerRequestHandler(context, state, recordWatch, grantedLease, heartbeatTraffic, events)
--- a/src/main/kotlin/org/chalkhollow/core/operations/ControllerGauges.kt
+++ b/src/main/kotlin/org/chalkhollow/core/operations/ControllerGauges.kt
@@ -24,6 +24,8 @@
     /** Whether this controller accepts users' requests, and why not. */
     val readiness: Readiness = Readiness.NO_LEADER_CONTACT,
     val forwarded: ForwardedCounts = ForwardedCounts(),
+    /** The probes that find out whether the leader responds to forwarded requests. */
+    val probes: ForwardedCounts = ForwardedCounts(),
 )
 
 /** Replicas of all services, as known to the leader. */
--- a/src/main/kotlin/org/chalkhollow/core/requests/ReadinessCheck.kt
+++ b/src/main/kotlin/org/chalkhollow/core/requests/ReadinessCheck.kt
@@ -9,15 +9,20 @@
  * Decides whether users may send requests to this controller, and logs each change with its reason. Owns the last
  * logged state. Called by [RequestHandler] at every tick.
  */
-internal class ReadinessCheck(private val context: CoreContext, private val leadership: Leadership) {
+internal class ReadinessCheck(
+    private val context: CoreContext,
+    private val leadership: Leadership,
+    private val probe: LeaderProbe,
+) {
     private var logged: Readiness? = null
 
     /** The state at this moment. */
     fun current(): Readiness =
         when {
             leadership.mayActAsLeader() -> Readiness.LEADING
-            leadership.hasLeaderContact(LEADER_CONTACT_MS) -> Readiness.LEADER_IN_CONTACT
-            else -> Readiness.NO_LEADER_CONTACT
+            !leadership.hasLeaderContact(LEADER_CONTACT_MS) -> Readiness.NO_LEADER_CONTACT
+            !probe.leaderResponds -> Readiness.LEADER_NOT_RESPONDING
+            else -> Readiness.LEADER_IN_CONTACT
         }
 
     fun tick() {
--- a/src/main/kotlin/org/chalkhollow/core/requests/RequestHandler.kt
+++ b/src/main/kotlin/org/chalkhollow/core/requests/RequestHandler.kt
@@ -34,7 +34,8 @@
     private val forwarder = RequestForwarder(context, leadership, responder)
     private val jobRequests = JobRequests(context, responder, writer, jobs, cancellation, quotas, fleet, names)
 
-    private val readinessCheck = ReadinessCheck(context, leadership)
+    private val leaderProbe = LeaderProbe(context, leadership)
+    private val readinessCheck = ReadinessCheck(context, leadership, leaderProbe)
 
     /** Whether users may send requests to this controller at this moment, and why. */
     val readiness: Readiness get() = readinessCheck.current()
@@ -42,6 +43,9 @@
     /** What became of the requests that this controller forwarded. */
     val forwardedCounts: ForwardedCounts get() = forwarder.counts
 
+    /** The outcomes of the probes that this controller sent to leaders. */
+    val probeCounts: ForwardedCounts get() = leaderProbe.counts
+
     /** Whether the stored records are loaded; before that the leader does not know which jobs were accepted. */
     private var isOpen = false
 
@@ -67,7 +71,9 @@
     }
 
     /** The leader responded to a request that this controller forwarded. */
-    fun onForwardedResponse(message: PeerMessage.ForwardedResponse) = forwarder.onResponse(message)
+    fun onForwardedResponse(message: PeerMessage.ForwardedResponse) {
+        if (!leaderProbe.onResponse(message)) forwarder.onResponse(message)
+    }
 
     private fun serve(call: Int, request: UserRequest) {
         if (leadership.mayActAsLeader() && isOpen) {
@@ -83,6 +89,7 @@
     /** Responds with 503 to callers that have waited for too long. */
     fun tick() {
         forwarder.expire()
+        leaderProbe.tick()
         readinessCheck.tick()
         jobRequests.expire()
     }
--- a/src/main/kotlin/org/chalkhollow/runtime/Metrics.kt
+++ b/src/main/kotlin/org/chalkhollow/runtime/Metrics.kt
@@ -101,6 +101,8 @@
         appendLine("chalkhollow_forwards_total{outcome=\"answered\"} ${gauges.forwarded.answered}")
         appendLine("chalkhollow_forwards_total{outcome=\"timed_out\"} ${gauges.forwarded.timedOut}")
         appendLine("chalkhollow_forwards_total{outcome=\"rejected\"} ${gauges.forwarded.rejected}")
+        appendLine("chalkhollow_leader_probes_total{outcome=\"answered\"} ${gauges.probes.answered}")
+        appendLine("chalkhollow_leader_probes_total{outcome=\"timed_out\"} ${gauges.probes.timedOut}")
     }
 
     private fun StringBuilder.appendHistograms() {
--- a/src/test/kotlin/org/chalkhollow/core/common/DroppedInputsTest.kt
+++ b/src/test/kotlin/org/chalkhollow/core/common/DroppedInputsTest.kt
@@ -105,11 +105,12 @@
         val simulation = electedSimulation(3)
         val follower = simulation.nodes.first { !it.leads }
         val leader = simulation.indexAt(follower.label, simulation.leader.label)
-        val responses = ArrayList<PeerMessage.ForwardedResponse>()
-        simulation.onFrame = { frame -> (Frames.decode(frame) as? PeerMessage.ForwardedResponse)?.let(responses::add) }
+        val messages = ArrayList<PeerMessage>()
+        simulation.onFrame = { frame -> Frames.decode(frame)?.let(messages::add) }
         follower.receiveRequest(UserRequest.Query("j-000001")) {}
         simulation.clock.runUntil(16_000)
-        val response = responses.single()
+        val forwarded = messages.filterIsInstance<PeerMessage.ForwardedRequest>().single { it.jobId == "j-000001" }
+        val response = messages.filterIsInstance<PeerMessage.ForwardedResponse>().single { it.seq == forwarded.seq }
         val repeated = Frames.encode(response)
         assertEquals(
             mapOf(DroppedInput.MESSAGE_LATE to 1L),
--- a/src/test/kotlin/org/chalkhollow/simulation/SimulatedController.kt
+++ b/src/test/kotlin/org/chalkhollow/simulation/SimulatedController.kt
@@ -42,6 +42,9 @@
     private var lastTimer = 0
 
     val alive: Boolean get() = controller != null
+
+    /** Whether `GET /up` responds with 200; false if the process does not run. */
+    val acceptsRequests: Boolean get() = controller?.acceptsRequests(now()) == true
     val leads: Boolean get() = controller?.isLeader(now()) == true
 
     /** How many inputs this process has dropped since it started, by reason. */
@@ -171,7 +174,7 @@
         val receiver = simulation.peerOf(label, effect.peer)
         val frame = Frames.encode(effect.message)
         simulation.onFrame(frame)
-        simulation.network.send(label, receiver.label) {
+        simulation.peerLinks.send(label, receiver.label) {
             receiver.receiveFrame(simulation.indexAt(receiver.label, label), frame)
         }
     }
--- a/src/test/kotlin/org/chalkhollow/simulation/Simulation.kt
+++ b/src/test/kotlin/org/chalkhollow/simulation/Simulation.kt
@@ -49,6 +49,7 @@
 ) {
     val clock = VirtualClock(seed)
     val network = Network(clock)
+    val peerLinks = PeerLinks(clock, network)
     val zones = listOf("east", "west")
 
     /** The teams with their true limits, see [DeliberateErrors.configuredLimitFactor]. */
